--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -1,9 +1,16 @@
-// Package cli is the command line of tarragondrum.
+// Package cli is the command line of tarragondrum. Each command is a struct
+// that go-arg fills in; its run method does the work through an Env, so that
+// tests run commands without a process.
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 )
@@ -24,24 +31,83 @@
 	ExitBehind = 5
 )
 
-type versionCmd struct{}
+const exitCodes = `Exit codes: 0 done, 1 failed, 2 wrong usage or file (nothing changed),
+3 another operator was first (nothing changed), 4 outcome unknown (ask again
+with "bundle status"), 5 the roll-out did not reach every node in time.`
 
-type args struct {
+// Env is what a command may use of the process.
+type Env struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// printf writes to the standard output; an error of the output is ignored.
+func (e Env) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.Stdout, format, args...)
+}
+
+// fail writes an error line and returns code.
+func (e Env) fail(code int, err error) int {
+	_, _ = fmt.Fprintf(e.Stderr, "error: %v\n", err)
+	return code
+}
+
+// command is one runnable subcommand.
+type command interface {
+	// run does the work and returns an exit code. ctx ends on an interrupt.
+	run(ctx context.Context, env Env) int
+	// example returns the lines shown under "Example" in the help.
+	example() string
+}
+
+// rootArgs is the whole command line.
+type rootArgs struct {
 	Version *versionCmd `arg:"subcommand:version" help:"print the version of this program"`
 }
 
+// Description is shown at the top of the help.
+func (rootArgs) Description() string {
+	return "tarragondrum prepares, signs off and rolls configuration bundles to every proxy of a service mesh.\n"
+}
+
+// Epilogue is shown at the end of the help.
+func (rootArgs) Epilogue() string { return exitCodes }
+
 // Main runs one command and returns the exit code.
-func Main(argv []string, _ io.Reader, stdout, stderr io.Writer) int {
-	var a args
-	p, err := arg.NewParser(arg.Config{Program: "tarragondrum", Out: stderr}, &a)
+func Main(argv []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, argv, Env{Stdin: stdin, Stdout: stdout, Stderr: stderr})
+}
+
+// Run runs one command until it ends or ctx is done, and returns the exit code.
+func Run(ctx context.Context, argv []string, env Env) int {
+	var root rootArgs
+	p, err := arg.NewParser(arg.Config{Program: "tarragondrum", Out: env.Stderr, Exit: func(int) {}}, &root)
 	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return ExitFailed
+		return env.fail(ExitFailed, err)
 	}
-	if err := p.Parse(argv); err != nil {
-		p.WriteHelp(stdout)
+	err = p.Parse(argv)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		writeHelp(p, env)
+		return ExitOK
+	case err != nil:
+		_ = p.WriteUsageForSubcommand(env.Stderr, p.SubcommandNames()...)
+		return env.fail(ExitUsage, err)
+	}
+	c, ok := p.Subcommand().(command)
+	if !ok {
+		writeHelp(p, env)
 		return ExitUsage
 	}
-	_, _ = fmt.Fprintln(stdout, "tarragondrum")
-	return ExitOK
+	return c.run(ctx, env)
+}
+
+func writeHelp(p *arg.Parser, env Env) {
+	_ = p.WriteHelpForSubcommand(env.Stdout, p.SubcommandNames()...)
+	if c, ok := p.Subcommand().(command); ok {
+		env.printf("\nExample:\n  %s\n", c.example())
+	}
 }
