--- /dev/null
+++ b/pkg/httpserver/httpserver.go
@@ -0,0 +1,75 @@
+// Package httpserver starts hertz servers in one way: the port is bound before
+// Start returns, so that an address in use is an error of the caller, and stop
+// waits for requests in flight.
+package httpserver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+// pollInterval is the time between two looks at whether the server accepts.
+const pollInterval = time.Millisecond
+
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
+// Server is a running hertz server.
+type Server struct {
+	hertz *server.Hertz
+	addr  string
+	done  chan error
+}
+
+// Start binds addr ("IP:port", port 0 picks a free one), lets register add the
+// routes, and serves until Stop.
+func Start(addr string, register func(*server.Hertz), options ...config.Option) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	options = append([]config.Option{
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(0),
+	}, options...)
+	s := &Server{
+		hertz: server.New(options...),
+		addr:  ln.Addr().String(),
+		done:  make(chan error, 1),
+	}
+	register(s.hertz)
+	go func() { s.done <- s.hertz.Run() }()
+	return s, s.waitRunning(ln)
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.addr }
+
+// Stop closes the listener and waits until requests in flight have ended or
+// ctx is done.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.hertz.Shutdown(ctx); err != nil {
+		return fmt.Errorf("stop server on %s: %w", s.addr, err)
+	}
+	return nil
+}
+
+func (s *Server) waitRunning(ln net.Listener) error {
+	for !s.hertz.IsRunning() {
+		select {
+		case err := <-s.done:
+			_ = ln.Close()
+			return fmt.Errorf("serve on %s: %w", s.addr, err)
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
