Let order refusals say when to come back

Cause: a refusal must tell the caller when to come back, and a node whose cached owners are stale needs to hear of it. Change: RetryAfter in Decision and Place; Ledger.Moved. Conclusion: additive; the proxy compiles as before.

--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
@@ -53,6 +54,8 @@
 	// Effect tells whether the order has run, has not, or may have.
 	Effect  reason.Effect
 	Outcome *Outcome
+	// RetryAfter tells the caller when to come back; zero means that it is not said.
+	RetryAfter time.Duration
 }
 
 // Place is the answer of Locate.
@@ -61,12 +64,19 @@
 	Node   model.NodeID
 	Reason reason.Reason
 	Effect reason.Effect
+	// RetryAfter tells the caller when to come back; zero means that it is not said.
+	RetryAfter time.Duration
 }
 
 // Ledger is what the proxy looks up under the name "orders".
 type Ledger interface {
 	// Locate returns the node on which an order must run.
+	// It answers from a local cache; only the first order for a service waits for
+	// a peer, for a bounded time.
 	Locate(service, key string) Place
+	// Moved tells that the node named by Locate refused a key as key-unowned, so
+	// that the cached owners of the service are read again.
+	Moved(service string)
 	// Begin claims the key on this node. After VerdictRun exactly one of Finish,
 	// NotRun and Lost must follow.
 	Begin(ctx context.Context, r Request) Decision
