--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -63,7 +63,10 @@
 
 // rootArgs is the whole command line.
 type rootArgs struct {
-	Version *versionCmd `arg:"subcommand:version" help:"print the version of this program"`
+	Handover   *handoverCmd   `arg:"subcommand:handover" help:"show what is in force, who accepted it and how far it is"`
+	Upstream   *upstreamCmd   `arg:"subcommand:upstream" help:"list and drain the upstreams of a host"`
+	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"list and lift calls that crashed upstreams"`
+	Version    *versionCmd    `arg:"subcommand:version" help:"print the version of this program"`
 }
 
 // Description is shown at the top of the help.
