--- a/pkg/bundle/accept.go
+++ b/pkg/bundle/accept.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"fmt"
+	"time"
 )
 
 // signatureContext separates these signatures from any other use of a key.
@@ -31,9 +32,11 @@
 	return k
 }
 
-// Sign fills in the key id and signature of a.
+// Sign fills in the key id and signature of a. The time is cut to whole seconds
+// in UTC, which every codec carries without loss.
 func (a *Acceptance) Sign(keyID string, key ed25519.PrivateKey) error {
 	a.KeyID = keyID
+	a.Time = a.Time.UTC().Truncate(time.Second)
 	message, err := a.signedBytes()
 	if err != nil {
 		return err
--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,7 @@
 func mustEncMode() cbor.EncMode {
 	opts := cbor.CoreDetEncOptions()
 	opts.Time = cbor.TimeRFC3339Nano
+	opts.NilContainers = cbor.NilContainerAsEmpty
 	m, err := opts.EncMode()
 	if err != nil {
 		panic(err)
@@ -59,13 +61,27 @@
 	return r
 }
 
-// Normalize sorts the services and routes by name, which gives equal content
-// equal encodings.
+// Normalize sorts the services and routes by name and the methods of each
+// route, and turns empty lists into nil, which gives equal content equal forms.
 func (b *Bundle) Normalize() {
+	b.Services = nilIfEmpty(b.Services)
+	b.Routes = nilIfEmpty(b.Routes)
+	for i := range b.Routes {
+		r := &b.Routes[i]
+		r.Methods = nilIfEmpty(slices.Clone(r.Methods))
+		slices.Sort(r.Methods)
+	}
 	sort.Slice(b.Services, func(i, j int) bool { return b.Services[i].Name < b.Services[j].Name })
 	sort.Slice(b.Routes, func(i, j int) bool { return b.Routes[i].Name < b.Routes[j].Name })
 }
 
+func nilIfEmpty[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
 // ContentID returns the hash of a normalized bundle's content.
 func (b *Bundle) ContentID() (ID, error) {
 	raw, err := encMode.Marshal(b)
@@ -85,6 +101,7 @@
 	if err := unpackInto(data, &b); err != nil {
 		return Bundle{}, err
 	}
+	b.Normalize()
 	return b, nil
 }
 
--- /dev/null
+++ b/pkg/signoff/signoff.go
@@ -0,0 +1,217 @@
+// Package signoff accepts bundles: it signs the acceptance and puts it in force
+// by one conditional update of the head. Of two racing operators one wins; a
+// lost answer is resolved by the operation id inside the acceptance.
+package signoff
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+)
+
+const (
+	// resolveAttempts bounds the reads and repeated updates after a lost answer.
+	resolveAttempts = 6
+	// resolveDelay is the first pause between them; it doubles each time.
+	resolveDelay = 100 * time.Millisecond
+)
+
+// Request asks for a bundle to be put in force.
+type Request struct {
+	Bundle bundle.ID
+	// Expect is the version that the operator saw in force.
+	Expect   model.Version
+	Acceptor string
+	KeyID    string
+	Key      ed25519.PrivateKey
+	Reason   string
+	// Operation is unique to this sign-off.
+	Operation string
+	// Time is the time of the sign-off; it is kept in whole seconds.
+	Time time.Time
+	// Keyring, if not nil, must verify the signature before anything is written.
+	Keyring *bundle.Keyring
+}
+
+// ConflictError says that another version is in force than the operator expected.
+type ConflictError struct {
+	Expected model.Version
+	// Winner is the acceptance that is in force instead.
+	Winner bundle.Acceptance
+}
+
+// Error names the winner, the version and the time.
+func (e *ConflictError) Error() string {
+	if e.Winner.Version == 0 {
+		return fmt.Sprintf("expected version %d, but no bundle has been accepted yet", e.Expected)
+	}
+	w := e.Winner
+	return fmt.Sprintf("expected version %d, but %s put version %d (bundle %.12s) in force at %s: %q",
+		e.Expected, w.Acceptor, w.Version, w.Bundle, w.Time.Format(time.RFC3339), w.Reason)
+}
+
+// UnknownError says that the outcome of a sign-off could not be learned.
+type UnknownError struct {
+	Operation string
+	// Version is the version that the sign-off would have.
+	Version model.Version
+	Cause   error
+}
+
+// Error tells the operator how to find out.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("the platform did not say whether version %d was accepted; run \"tarragondrum bundle status --operation %s\" before signing off again: %v",
+		e.Version, e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Accept puts a prepared bundle in force. It returns a *ConflictError if
+// another version is in force than expected and an *UnknownError if the
+// platform did not tell the outcome; any other error means that nothing changed.
+func Accept(ctx context.Context, store platform.Store, r Request) (bundle.Acceptance, error) {
+	head, revision, err := bundlestore.ReadHead(ctx, store)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	if head.Acceptance.Version != r.Expect {
+		return bundle.Acceptance{}, &ConflictError{Expected: r.Expect, Winner: head.Acceptance}
+	}
+	a, err := sign(ctx, store, r, head)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	value, err := json.Marshal(head.Next(a))
+	if err != nil {
+		return bundle.Acceptance{}, fmt.Errorf("encode head: %w", err)
+	}
+	return commit(ctx, store, update{acceptance: a, value: value, revision: revision, expect: r.Expect})
+}
+
+// sign checks that the bundle is stored whole and returns its signed acceptance.
+func sign(ctx context.Context, store platform.Store, r Request, head bundlestore.Head) (bundle.Acceptance, error) {
+	m, _, err := bundlestore.LoadManifest(ctx, store, r.Bundle)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	if _, err := bundlestore.Load(ctx, store, r.Bundle); err != nil {
+		return bundle.Acceptance{}, err
+	}
+	a := bundle.Acceptance{
+		Version:   head.Acceptance.Version + 1,
+		Bundle:    r.Bundle,
+		Parent:    head.Acceptance.Bundle,
+		Acceptor:  r.Acceptor,
+		Preparer:  m.Meta.Preparer,
+		Time:      r.Time,
+		Reason:    r.Reason,
+		Operation: r.Operation,
+	}
+	if err := a.Sign(r.KeyID, r.Key); err != nil {
+		return bundle.Acceptance{}, err
+	}
+	if r.Keyring != nil {
+		if err := r.Keyring.Verify(&a); err != nil {
+			return bundle.Acceptance{}, err
+		}
+	}
+	return a, nil
+}
+
+// update is one conditional update of the head.
+type update struct {
+	acceptance bundle.Acceptance
+	value      json.RawMessage
+	revision   platform.Revision
+	expect     model.Version
+}
+
+// commit writes the head. Once an answer was lost it reads the head before
+// every further step: the operation id tells whether the update took effect.
+// Only while the head still has the expected revision is the identical update
+// sent again, which at most one of the two can win.
+func commit(ctx context.Context, store platform.Store, u update) (bundle.Acceptance, error) {
+	_, err := store.Put(ctx, bundlestore.HeadKey(), u.value, u.revision)
+	if err == nil {
+		return u.acceptance, nil
+	}
+	sent := errors.Is(err, platform.ErrUnknownOutcome)
+	if !sent && !errors.Is(err, platform.ErrConflict) {
+		return bundle.Acceptance{}, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
+	}
+	delay := resolveDelay
+	for range resolveAttempts {
+		var done bool
+		done, err = resolve(ctx, store, u, sent)
+		if done && err == nil {
+			return u.acceptance, nil
+		}
+		if done {
+			return bundle.Acceptance{}, err
+		}
+		if pause(ctx, delay) != nil {
+			break
+		}
+		delay *= 2
+	}
+	if !sent {
+		return bundle.Acceptance{}, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
+	}
+	return bundle.Acceptance{}, &UnknownError{Operation: u.acceptance.Operation, Version: u.acceptance.Version, Cause: err}
+}
+
+// resolve reads the head back and decides. It reports done when the outcome is
+// certain; the error is then the outcome.
+func resolve(ctx context.Context, store platform.Store, u update, sent bool) (done bool, err error) {
+	head, revision, err := bundlestore.ReadHead(ctx, store)
+	if err != nil {
+		return false, err
+	}
+	if _, ok := head.Find(u.acceptance.Operation); ok {
+		return true, nil
+	}
+	if revision != u.revision {
+		winner, ok := successor(head, u.acceptance.Version)
+		if !ok {
+			return false, fmt.Errorf("head is at version %d and no longer lists version %d", head.Acceptance.Version, u.acceptance.Version)
+		}
+		return true, &ConflictError{Expected: u.expect, Winner: winner}
+	}
+	if !sent {
+		return true, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, platform.ErrConflict)
+	}
+	if _, err := store.Put(ctx, bundlestore.HeadKey(), u.value, u.revision); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+// successor returns the acceptance that took the given version.
+func successor(head bundlestore.Head, v model.Version) (bundle.Acceptance, bool) {
+	for _, a := range head.All() {
+		if a.Version == v {
+			return a, true
+		}
+	}
+	return bundle.Acceptance{}, false
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/signoff/signoff_test.go
@@ -0,0 +1,219 @@
+package signoff_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+	"github.com/tarragondrum/tarragondrum/pkg/signoff"
+)
+
+// prepare stores a bundle with one service of the given name.
+func prepare(t *testing.T, store platform.Store, service string) bundle.ID {
+	t.Helper()
+	b := bundle.Bundle{Services: []bundle.Service{{Name: service}}}
+	id, err := bundlestore.Save(t.Context(), store, &b, bundlestore.Meta{Preparer: "ioana"})
+	is.New(t).NoErr(err)
+	return id
+}
+
+func request(id bundle.ID, expect model.Version, operator string) signoff.Request {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, operator)
+	return signoff.Request{
+		Bundle: id, Expect: expect, Acceptor: operator, KeyID: operator + "-1",
+		Key: ed25519.NewKeyFromSeed(seed), Reason: "test", Operation: "op-" + operator,
+		Time: time.Date(2026, 3, 12, 12, 0, 0, 0, time.UTC),
+	}
+}
+
+func head(t *testing.T, store platform.Store) bundlestore.Head {
+	t.Helper()
+	h, _, err := bundlestore.ReadHead(t.Context(), store)
+	is.New(t).NoErr(err)
+	return h
+}
+
+func TestAcceptChainsVersions(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	one, two := prepare(t, store, "one"), prepare(t, store, "two")
+	_, err := signoff.Accept(t.Context(), store, request(one, 0, "ioana"))
+	is.NoErr(err)
+	a, err := signoff.Accept(t.Context(), store, request(two, 1, "mihai"))
+	is.NoErr(err)
+	is.Equal(a.Version, model.Version(2))
+	is.Equal(a.Parent, one)
+	h := head(t, store)
+	is.Equal(h.Acceptance.Bundle, two)
+	is.Equal(h.Recent[0].Bundle, one)
+	key := request(two, 0, "mihai").Key.Public().(ed25519.PublicKey)
+	ring := bundle.NewKeyring(bundle.TrustedKey{ID: "mihai-1", Operator: "mihai", Public: key})
+	is.NoErr(ring.Verify(&h.Acceptance)) // survives the platform's JSON
+}
+
+func TestOfRacingOperatorsOneWins(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	ids := map[string]bundle.ID{"ioana": prepare(t, store, "one"), "mihai": prepare(t, store, "two")}
+	results := make(map[string]error)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for operator, id := range ids {
+		wg.Go(func() {
+			_, err := signoff.Accept(t.Context(), store, request(id, 0, operator))
+			mu.Lock()
+			defer mu.Unlock()
+			results[operator] = err
+		})
+	}
+	wg.Wait()
+	h := head(t, store)
+	is.Equal(h.Acceptance.Version, model.Version(1))
+	is.Equal(len(h.Recent), 0)
+	for operator, err := range results {
+		if operator == h.Acceptance.Acceptor {
+			is.NoErr(err)
+			continue
+		}
+		var conflict *signoff.ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Winner.Acceptor, h.Acceptance.Acceptor)
+		is.Equal(conflict.Winner.Version, model.Version(1))
+		is.True(conflict.Winner.Time.Equal(h.Acceptance.Time))
+	}
+}
+
+func TestLostAnswerIsResolvedToAccepted(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	id := prepare(t, store, "one")
+	store.LoseAnswers(1)
+	a, err := signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
+	is.NoErr(err)
+	h := head(t, store)
+	is.Equal(h.Acceptance.Operation, a.Operation)
+	is.Equal(h.Acceptance.Version, model.Version(1)) // not accepted twice
+}
+
+// The update is still under way when the head is read back: sending the
+// identical update again lets at most one of the two win.
+func TestLateUpdateIsAcceptedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := fake.New()
+		id := prepare(t, store, "one")
+		store.DeferWrites(1)
+		_, err := signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
+		is.NoErr(err)
+		store.ReleaseWrites()
+		h := head(t, store)
+		is.Equal(h.Acceptance.Version, model.Version(1))
+		is.Equal(len(h.Recent), 0)
+	})
+}
+
+// interloper lets another operator sign off while the first one's answer is lost.
+type interloper struct {
+	platform.Store
+	onLost func()
+}
+
+func (s *interloper) Put(ctx context.Context, key platform.Key, value json.RawMessage, revision platform.Revision) (platform.Revision, error) {
+	r, err := s.Store.Put(ctx, key, value, revision)
+	if errors.Is(err, platform.ErrUnknownOutcome) && s.onLost != nil {
+		s.onLost()
+		s.onLost = nil
+	}
+	return r, err
+}
+
+func TestSecondOperatorSignsWhileAnswerIsLost(t *testing.T) {
+	cases := map[string]struct {
+		fault   func(*fake.Store)
+		expect  model.Version
+		newest  model.Version
+		outcome string
+	}{
+		"the lost one took effect": {func(s *fake.Store) { s.LoseAnswers(1) }, 1, 2, "accepted"},
+		"the lost one is late":     {func(s *fake.Store) { s.DeferWrites(1) }, 0, 1, "conflict"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := fake.New()
+			one, two := prepare(t, store, "one"), prepare(t, store, "two")
+			c.fault(store)
+			racing := &interloper{Store: store, onLost: func() {
+				_, err := signoff.Accept(t.Context(), store, request(two, c.expect, "mihai"))
+				is.NoErr(err)
+			}}
+			_, err := signoff.Accept(t.Context(), racing, request(one, 0, "ioana"))
+			store.ReleaseWrites()
+			is.Equal(head(t, store).Acceptance.Version, c.newest)
+			is.Equal(head(t, store).Acceptance.Acceptor, "mihai")
+			if c.outcome == "accepted" {
+				is.NoErr(err)
+				return
+			}
+			var conflict *signoff.ConflictError
+			is.True(errors.As(err, &conflict))
+			is.Equal(conflict.Winner.Acceptor, "mihai")
+		})
+	}
+}
+
+func TestUnknownOutcomeIsToldAsSuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := fake.New()
+		id := prepare(t, store, "one")
+		store.LoseAnswers(1)
+		racing := &interloper{Store: store, onLost: func() { store.SetDown(true) }}
+		_, err := signoff.Accept(t.Context(), racing, request(id, 0, "ioana"))
+		var unknown *signoff.UnknownError
+		is.True(errors.As(err, &unknown))
+		is.Equal(unknown.Operation, "op-ioana")
+		is.Equal(unknown.Version, model.Version(1))
+		store.SetDown(false)
+		h := head(t, store)
+		_, ok := h.Find(unknown.Operation) // what the operator then asks for
+		is.True(ok)
+	})
+}
+
+func TestNothingIsAcceptedThatIsNotWholeOrTrusted(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	id := prepare(t, store, "one")
+
+	_, err := signoff.Accept(t.Context(), store, request("absent", 0, "ioana"))
+	is.True(errors.Is(err, bundlestore.ErrNotPrepared))
+
+	r := request(id, 0, "ioana")
+	r.Keyring = bundle.NewKeyring()
+	_, err = signoff.Accept(t.Context(), store, r)
+	is.True(errors.Is(err, bundle.ErrSignature))
+
+	store.SetDown(true)
+	_, err = signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	store.SetDown(false)
+
+	_, err = signoff.Accept(t.Context(), store, request(id, 7, "ioana"))
+	var conflict *signoff.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(head(t, store).Acceptance.Version, model.Version(0))
+}
