--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		panic(err)
 	}
+	// The encoder is set up on first use; doing it here keeps its channels out
+	// of the synctest bubbles of tests.
+	w.EncodeAll(nil, nil)
 	return w
 }
 
--- /dev/null
+++ b/pkg/event/rollout.go
@@ -0,0 +1,26 @@
+package event
+
+// Events of the roll-out of accepted versions.
+var (
+	RolloutApplied         = register(500, "rollout-applied", LevelInfo, "a version is in force on this node", "")
+	RolloutRefused         = register(501, "rollout-refused", LevelError, "a version was refused whole; the old one stays in force", "Read the reason; sign off a corrected bundle. A refused signature means an unknown or withdrawn key, or a tampered message.")
+	RolloutTransition      = register(502, "rollout-transition", LevelDebug, "the application of a version changed its state", "")
+	RolloutStarted         = register(503, "rollout-started", LevelInfo, "this node starts the push of a version in its data centre", "")
+	RolloutRelayFailed     = register(504, "rollout-relay-failed", LevelDebug, "a peer did not acknowledge a push; another one takes its branch", "")
+	RolloutPullFailed      = register(505, "rollout-pull-failed", LevelWarn, "a newer version could not be pulled from any peer; it is tried again", "Look for a partition if it persists.")
+	RolloutPulled          = register(506, "rollout-pulled", LevelInfo, "a version that the push missed was pulled from a peer", "")
+	RolloutLead            = register(507, "rollout-lead", LevelInfo, "this node starts or ends watching the platform for its data centre", "")
+	RolloutWatchLost       = register(508, "rollout-watch-lost", LevelWarn, "the watch on the accepted head ended; it is started again", "Nothing while it is rare; otherwise check the platform.")
+	RolloutWatchBehind     = register(509, "rollout-watch-behind", LevelWarn, "a read of the head found a version that the watch had not delivered", "Check the platform's watches.")
+	RolloutPlatformDown    = register(510, "rollout-platform-down", LevelWarn, "the platform does not answer; the version in force stays and peers are followed", "Sign-off waits until the platform answers.")
+	RolloutPlatformUp      = register(511, "rollout-platform-up", LevelInfo, "the platform answers again", "")
+	RolloutReady           = register(512, "rollout-ready", LevelInfo, "the node has learned the newest version that it could reach", "")
+	RolloutReadyBlind      = register(513, "rollout-ready-without-bundle", LevelWarn, "nobody answered in time; the node opens without a bundle and refuses calls until it has one", "Check that the node reaches its peers or the platform.")
+	RolloutProgressFailed  = register(514, "rollout-progress-failed", LevelWarn, "the summary of the data centre could not be written; it is tried again", "")
+	RolloutHeadUnreadable  = register(515, "rollout-head-unreadable", LevelError, "the accepted head or its content in the platform cannot be read", "Check the object named in the event; peers keep the version in force.")
+	RolloutBadMessage      = register(516, "rollout-bad-message", LevelWarn, "a peer sent a roll-out message that breaks the protocol; it was dropped", "Check the version of the peer named in the event.")
+	RolloutLaggards        = register(517, "rollout-laggards", LevelWarn, "members of this data centre have not applied the accepted version in time", "See `bundle roll` for their names and reasons.")
+	RolloutGatewayUnheard  = register(518, "rollout-gateway-unheard", LevelWarn, "no gateway of another data centre acknowledged a version", "Look for a partition; the data centre catches up by itself when it heals.")
+	RolloutHeadWentBack    = register(519, "rollout-head-went-back", LevelError, "the platform returned an older head than one seen before; it was ignored", "The platform may have been restored from a backup: sign off the wanted bundle again, above the version in force.")
+	RolloutHandoverFailed = register(520, "rollout-handover-failed", LevelDebug, "the first lead did not take over a version; this node pushes it itself", "")
+)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -52,6 +52,7 @@
 	KindPush           Kind = 20
 	KindPull           Kind = 21
 	KindReport         Kind = 22
+	KindProgress       Kind = 23
 	KindOrderTransfer  Kind = 30
 	KindOrderAdmission Kind = 31
 )
