--- a/pkg/rollout/tally.go
+++ b/pkg/rollout/tally.go
@@ -156,3 +156,14 @@
 
 // Equal reports whether both summaries say the same.
 func (s Summary) Equal(other Summary) bool { return sameSummary(s, other) }
+
+// Same reports whether both say the same of the data centre, whoever said it
+// and when.
+func (p Progress) Same(other Progress) bool {
+	return p.DataCentre == other.DataCentre && p.Members == other.Members &&
+		sameSummary(p.summary(), other.summary())
+}
+
+func (p Progress) summary() Summary {
+	return Summary{Version: p.Version, Applied: p.Applied, Laggards: p.Laggards}
+}
