Ask the leads for progress while the platform is down

Cause: the handover page lost the roll-out during a platform outage. Change: the collector asks the data centres' leads when the platform does not answer. Conclusion: the page keeps its roll-out rows.

--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -71,6 +71,9 @@
 	// Quarantine lists the refused calls.
 	Quarantine func() []Quarantined
 	Platform   PlatformReader
+	// Progress asks the leads of every data centre; it is used while the platform
+	// does not answer.
+	Progress func(ctx context.Context) []rollout.Progress
 	// PlatformTimeout bounds the question to the platform.
 	PlatformTimeout time.Duration
 }
@@ -93,6 +96,10 @@
 func (c *Collector) Report(ctx context.Context) Report {
 	reading, readAt, platformErr := c.read(ctx)
 	status := c.sources.Rollout.Status()
+	progress := mergeProgress(reading.Progress, status.Progress)
+	if platformErr != nil {
+		progress = mergeProgress(progress, c.sources.Progress(ctx))
+	}
 	r := Report{
 		Node:         c.sources.Node,
 		DataCentre:   c.sources.DataCentre,
@@ -102,7 +109,7 @@
 		PlatformTime: readAt,
 		Recent:       newerList(reading.Recent, status.History),
 		Waiting:      reading.Waiting,
-		Progress:     mergeProgress(reading.Progress, status.Progress),
+		Progress:     progress,
 		Refused:      status.Refused,
 		Quarantined:  c.sources.Quarantine(),
 		Members:      countMembers(c.sources.Members.View()),
--- a/pkg/handover/handover_test.go
+++ b/pkg/handover/handover_test.go
@@ -39,6 +39,9 @@
 		Members:         fakeMembers{},
 		Quarantine:      func() []handover.Quarantined { return nil },
 		Platform:        platform,
+		Progress: func(context.Context) []rollout.Progress {
+			return []rollout.Progress{{DataCentre: "cluj-2", Version: 4, Members: 3, Applied: 2}}
+		},
 		PlatformTimeout: time.Second,
 	})
 }
@@ -73,6 +76,7 @@
 		is.True(strings.Contains(out, "version 4, bundle abc"))
 		is.True(strings.Contains(out, "ioana at"))
 		is.True(strings.Contains(out, "last answered 1h0m0s ago: platform: unavailable"))
+		is.True(strings.Contains(out, "version 4 on 2 of 3 nodes"))
 	})
 }
 
