Carry calls from any node to the upstream

Cause: nothing carried a call yet. Change: packages proxy (inbound, outbound, pooled client on hertz's codec), upstream (announcements, probes, drain), and the pure packages routing, outlier, admission, retry and deadline; a catalogue of the refusal reasons. hertz ends a chunked reply that broke off like a whole one, so the proxy closes the caller's connection itself.

--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,353 @@
+// Package admission decides which calls an upstream runs now, which wait for a
+// slot and which are refused as not run. It is pure: the time of day is an
+// argument, and grants come back as values.
+//
+// Interactive calls and orders go first in order of arrival. Batch and internal
+// calls can never hold the slots reserved for callers, but each gets a share of
+// the grants, so that neither starves.
+package admission
+
+import (
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/reason"
+)
+
+// Verdict says what happens to a call.
+type Verdict string
+
+// The verdicts.
+const (
+	// Admitted: the call holds a slot until Done.
+	Admitted Verdict = "admitted"
+	// Queued: the call waits for a grant.
+	Queued Verdict = "queued"
+	// Refused: the call does not run.
+	Refused Verdict = "refused"
+)
+
+// Decision is the answer to an arriving call.
+type Decision struct {
+	Verdict Verdict
+	// Reason and RetryAfter are set for refused calls.
+	Reason     reason.Reason
+	RetryAfter time.Duration
+}
+
+// Config bounds a queue.
+type Config struct {
+	// Slots and Connections are those that the upstream announced.
+	Slots       int
+	Connections int
+	// Waiting is the number of calls of each class that may wait.
+	Waiting func(model.Class) int
+}
+
+// Load is what an upstream is doing.
+type Load struct {
+	Running int
+	Queued  int
+	// Limit is the number of calls that may run at the same time now.
+	Limit int
+}
+
+// Event is the end of a call's wait.
+type Event struct {
+	ID uint64
+	// Granted calls hold a slot; the others are refused with Reason.
+	Granted    bool
+	Reason     reason.Reason
+	RetryAfter time.Duration
+}
+
+const (
+	numClasses = 4
+	// turn is the number of grants in a row after which a waiting call of
+	// another kind gets the next one.
+	turn = 8
+	// optimism is the share of the mean service time that a call needs at least;
+	// a call with less time left is not started.
+	optimism = 0.5
+	// smoothing is the weight of the newest service time in the mean.
+	smoothing = 0.1
+	// minRetryAfter is the shortest advice to come back later.
+	minRetryAfter = time.Second
+	// maxRetryAfter is the longest one.
+	maxRetryAfter = 30 * time.Second
+)
+
+const (
+	interactive = iota
+	order
+	batch
+	internal
+)
+
+func indexOf(c model.Class) int {
+	switch c {
+	case model.ClassOrder:
+		return order
+	case model.ClassBatch:
+		return batch
+	case model.ClassInternal:
+		return internal
+	}
+	return interactive
+}
+
+type waiter struct {
+	id       uint64
+	arrived  time.Time
+	deadline time.Time
+}
+
+// Queue holds the calls of one upstream. It is not safe for concurrent use.
+type Queue struct {
+	config  Config
+	limit   *Limit
+	running [numClasses]int
+	waiting [numClasses][]waiter
+	mean    [numClasses]time.Duration
+	// passed counts the grants to others since the last grant of a class that
+	// had a call waiting.
+	passed [numClasses]int
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(c Config) *Queue {
+	return &Queue{config: c, limit: NewLimit(c.Slots, c.Connections)}
+}
+
+// Configure changes the bounds. Calls that run or wait stay.
+func (q *Queue) Configure(c Config) {
+	if c.Slots != q.config.Slots || c.Connections != q.config.Connections {
+		q.limit = NewLimit(c.Slots, c.Connections)
+	}
+	q.config = c
+}
+
+// Load returns what the upstream is doing.
+func (q *Queue) Load() Load {
+	return Load{Running: q.total(), Queued: q.queued(), Limit: q.limit.Current()}
+}
+
+// Arrive decides on a new call. A queued call keeps its id until Next reports
+// it or Cancel removes it.
+func (q *Queue) Arrive(now time.Time, id uint64, class model.Class, deadline time.Time) Decision {
+	c := indexOf(class)
+	need := q.need(c)
+	if !deadline.After(now.Add(need)) {
+		if !deadline.After(now) {
+			return Decision{Verdict: Refused, Reason: reason.DeadlineExpired}
+		}
+		return Decision{Verdict: Refused, Reason: reason.QueueTimeout}
+	}
+	if q.startsAtOnce(c) {
+		q.running[c]++
+		return Decision{Verdict: Admitted}
+	}
+	wait := q.estimate(c)
+	if len(q.waiting[c]) >= q.config.Waiting(class) {
+		return Decision{Verdict: Refused, Reason: reason.QueueFull, RetryAfter: advice(wait)}
+	}
+	if now.Add(wait + need).After(deadline) {
+		return Decision{Verdict: Refused, Reason: reason.QueueTimeout, RetryAfter: advice(wait)}
+	}
+	q.waiting[c] = append(q.waiting[c], waiter{id: id, arrived: now, deadline: deadline})
+	return Decision{Verdict: Queued}
+}
+
+// Done ends a call that held a slot. took is the time that the upstream needed.
+func (q *Queue) Done(now time.Time, class model.Class, took time.Duration, o Outcome) {
+	c := indexOf(class)
+	saturated := q.total() >= q.limit.Current() || q.queued() > 0
+	q.running[c]--
+	if o == OutcomeOK {
+		q.observe(c, took)
+	}
+	q.limit.Observe(now, Sample{Class: c, Took: took, Outcome: o, Saturated: saturated})
+}
+
+// Cancel removes a waiting call whose caller has gone and reports whether it
+// was waiting.
+func (q *Queue) Cancel(id uint64) bool {
+	for c := range q.waiting {
+		for i, w := range q.waiting[c] {
+			if w.id == id {
+				q.waiting[c] = append(q.waiting[c][:i], q.waiting[c][i+1:]...)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Next appends to events every waiting call that starts now or can no longer
+// make its deadline.
+func (q *Queue) Next(now time.Time, events []Event) []Event {
+	for c := range q.waiting {
+		events = q.expire(now, c, events)
+	}
+	for {
+		c, ok := q.choose()
+		if !ok {
+			return events
+		}
+		w := q.waiting[c][0]
+		q.waiting[c] = q.waiting[c][1:]
+		q.running[c]++
+		q.countGrant(c)
+		events = append(events, Event{ID: w.id, Granted: true})
+	}
+}
+
+// Flush refuses every waiting call with reason r.
+func (q *Queue) Flush(r reason.Reason, events []Event) []Event {
+	for c := range q.waiting {
+		for _, w := range q.waiting[c] {
+			events = append(events, Event{ID: w.id, Reason: r, RetryAfter: minRetryAfter})
+		}
+		q.waiting[c] = nil
+	}
+	return events
+}
+
+// expire drops the calls of class c that would end after their deadline.
+func (q *Queue) expire(now time.Time, c int, events []Event) []Event {
+	need := q.need(c)
+	kept := q.waiting[c][:0]
+	for _, w := range q.waiting[c] {
+		if w.deadline.After(now.Add(need)) {
+			kept = append(kept, w)
+			continue
+		}
+		events = append(events, Event{ID: w.id, Reason: reason.QueueTimeout, RetryAfter: advice(q.estimate(c))})
+	}
+	q.waiting[c] = kept
+	return events
+}
+
+// choose returns the class whose first waiting call starts next.
+func (q *Queue) choose() (int, bool) {
+	for _, c := range [...]int{batch, internal} {
+		if q.passed[c] >= turn && q.canStart(c) {
+			return c, true
+		}
+	}
+	if c, ok := q.earlier(interactive, order); ok {
+		return c, true
+	}
+	return q.earlier(batch, internal)
+}
+
+// earlier returns the class whose first call arrived first.
+func (q *Queue) earlier(a, b int) (int, bool) {
+	okA, okB := q.canStart(a), q.canStart(b)
+	switch {
+	case okA && okB && q.waiting[b][0].arrived.Before(q.waiting[a][0].arrived):
+		return b, true
+	case okA:
+		return a, true
+	}
+	return b, okB
+}
+
+func (q *Queue) canStart(c int) bool { return len(q.waiting[c]) > 0 && q.fits(c) }
+
+// countGrant notes that class c got a slot while others were waiting.
+func (q *Queue) countGrant(c int) {
+	q.passed[c] = 0
+	for other := range q.waiting {
+		if other != c && len(q.waiting[other]) > 0 {
+			q.passed[other]++
+		}
+	}
+}
+
+// startsAtOnce reports whether a new call of class c overtakes nobody.
+func (q *Queue) startsAtOnce(c int) bool {
+	if !q.fits(c) || len(q.waiting[c]) > 0 {
+		return false
+	}
+	return len(q.waiting[interactive]) == 0 && len(q.waiting[order]) == 0
+}
+
+// fits reports whether a slot is free that class c may use.
+func (q *Queue) fits(c int) bool {
+	limit := q.limit.Current()
+	if q.total() >= limit {
+		return false
+	}
+	if c != batch && c != internal {
+		return true
+	}
+	if q.running[batch]+q.running[internal] >= limit-Reserved(limit) {
+		return false
+	}
+	return q.running[c] < Share(class(c), limit)
+}
+
+// Reserved returns the number of slots that only interactive calls and orders
+// may use, of the given limit.
+func Reserved(limit int) int { return limit / 3 }
+
+// Share returns the number of slots that a class may hold, of the given limit.
+func Share(c model.Class, limit int) int {
+	switch c {
+	case model.ClassBatch:
+		return max(1, limit/2)
+	case model.ClassInternal:
+		return max(1, limit/3)
+	}
+	return limit
+}
+
+func class(c int) model.Class { return model.Classes()[c] }
+
+func (q *Queue) total() int {
+	n := 0
+	for _, r := range q.running {
+		n += r
+	}
+	return n
+}
+
+func (q *Queue) queued() int {
+	n := 0
+	for _, w := range q.waiting {
+		n += len(w)
+	}
+	return n
+}
+
+// need is the shortest time in which a call of class c may be expected to run.
+func (q *Queue) need(c int) time.Duration {
+	return time.Duration(optimism * float64(q.mean[c]))
+}
+
+// estimate returns the time that a new call of class c would wait: the work in
+// front of it, spread over the slots that the class may use.
+func (q *Queue) estimate(c int) time.Duration {
+	limit := q.limit.Current()
+	ahead := q.mean[c]
+	for other := range q.waiting {
+		if other == c || other == interactive || other == order {
+			ahead += q.mean[other] * time.Duration(len(q.waiting[other]))
+		}
+	}
+	return ahead / time.Duration(max(1, Share(class(c), limit)))
+}
+
+func (q *Queue) observe(c int, took time.Duration) {
+	if q.mean[c] == 0 {
+		q.mean[c] = took
+		return
+	}
+	q.mean[c] += time.Duration(smoothing * float64(took-q.mean[c]))
+}
+
+// advice turns an expected wait into the time after which to come back.
+func advice(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
--- a/pkg/handover/handover_test.go
+++ b/pkg/handover/handover_test.go
@@ -33,12 +33,12 @@
 
 func newCollector(platform handover.PlatformReader, status rollout.Status) *handover.Collector {
 	return handover.NewCollector(handover.Sources{
-		Node:            "a1",
-		DataCentre:      "cluj-1",
-		Rollout:         fakeRollout{status},
-		Members:         fakeMembers{},
-		Quarantine:      func() []handover.Quarantined { return nil },
-		Platform:        platform,
+		Node:       "a1",
+		DataCentre: "cluj-1",
+		Rollout:    fakeRollout{status},
+		Members:    fakeMembers{},
+		Quarantine: func() []handover.Quarantined { return nil },
+		Platform:   platform,
 		Progress: func(context.Context) []rollout.Progress {
 			return []rollout.Progress{{DataCentre: "cluj-2", Version: 4, Members: 3, Applied: 2}}
 		},
--- /dev/null
+++ b/pkg/proxy/client/conn.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	readBufferBytes  = 16 << 10 // also bounds the headers of a reply
+	writeBufferBytes = 8 << 10
+)
+
+// conn is one connection to a peer. It offers hertz's buffered reader, so that
+// hertz parses the headers.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	bw *bufio.Writer
+	// sent tells whether any byte of the current request has been written.
+	sent atomic.Bool
+	// received tells whether any byte of the current reply has been read.
+	received bool
+	reused   bool
+	idleAt   time.Time
+}
+
+func newConn(c net.Conn) *conn {
+	cc := &conn{Conn: c}
+	cc.br = bufio.NewReaderSize(cc.Conn, readBufferBytes)
+	cc.bw = bufio.NewWriterSize(cc, writeBufferBytes)
+	return cc
+}
+
+// Write notes that bytes were sent. A failed write counts unless the kernel
+// took nothing.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.sent.Store(true)
+	}
+	return n, err
+}
+
+// Peek, Skip, Release, Len, ReadByte and ReadBinary make conn a network.Reader.
+
+func (c *conn) Peek(n int) ([]byte, error) {
+	p, err := c.br.Peek(n)
+	if len(p) > 0 {
+		c.received = true
+	}
+	return p, err
+}
+
+func (c *conn) Skip(n int) error {
+	_, err := c.br.Discard(n)
+	return err
+}
+
+func (c *conn) Release() error          { return nil }
+func (c *conn) Len() int                { return c.br.Buffered() }
+func (c *conn) ReadByte() (byte, error) { return c.br.ReadByte() }
+
+func (c *conn) ReadBinary(n int) ([]byte, error) {
+	p, err := c.br.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	out := append([]byte(nil), p...)
+	return out, c.Skip(n)
+}
+
+// alive reports whether an idle connection can carry another request: the peer
+// has neither closed it nor sent anything unasked.
+func (c *conn) alive() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = n < 0 && (errors.Is(recvErr, syscall.EAGAIN) || errors.Is(recvErr, syscall.EWOULDBLOCK))
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/pkg/proxy/forwarder.go
@@ -0,0 +1,224 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/event"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/proxy/client"
+	"github.com/tarragondrum/tarragondrum/pkg/reason"
+	"github.com/tarragondrum/tarragondrum/pkg/retry"
+	"github.com/tarragondrum/tarragondrum/pkg/routing"
+)
+
+// maxNodeConns bounds the connections to one other node.
+const maxNodeConns = 512
+
+// forwarder is the first node's part of a call: it chooses the upstream, sends
+// the call to its node and tries again where that is safe.
+type forwarder struct {
+	self     model.NodeID
+	token    Token
+	table    *table
+	receiver *receiver
+	orders   orders
+	metrics  *Metrics
+	log      *event.Log
+
+	mu    sync.Mutex
+	pools map[string]*client.Pool
+}
+
+// serve returns the answer of a call. done must be called when the answer's
+// reply is no longer needed.
+func (f *forwarder) serve(c *call) (answer, func(error)) {
+	if f.receiver.guard != nil && f.receiver.guard.Quarantined(c.fingerprint) {
+		return refuse(reason.Poison), noop
+	}
+	e := f.table.entry(c.service)
+	e.call(c.budget)
+	var tried []routing.Key
+	last := refuse(reason.NoUpstream)
+	for number := 1; ; number++ {
+		p, refusal := f.place(c, e, tried)
+		if refusal != nil {
+			if number > 1 {
+				return last, noop
+			}
+			return *refusal, noop
+		}
+		a, done := f.try(c, e, p)
+		if !a.failed() {
+			return a, done
+		}
+		if !f.again(c, e, &a, number) {
+			return a, done
+		}
+		done(nil)
+		a.close()
+		last = a
+		last.reply = nil
+		tried = append(tried, p.Key)
+		c.depth.Retried = c.depth.Retried || !retry.IsFree(a.reason)
+	}
+}
+
+// close gives up the reply of a try that is not passed on.
+func (a *answer) close() {
+	if a.reply != nil {
+		a.reply.Close()
+	}
+}
+
+// place returns the endpoint of the next try: for an order with a key the node
+// that owns the key, otherwise the one that the chooser picks.
+func (f *forwarder) place(c *call, e *entry, tried []routing.Key) (*routing.Endpoint, *answer) {
+	now := time.Now()
+	if c.remaining(now) <= 0 {
+		a := refuse(reason.DeadlineExpired)
+		return nil, &a
+	}
+	if c.isOrder() && f.orders.ledger != nil {
+		return f.placeOrder(c, e)
+	}
+	if p := e.pick(c, tried, now); p != nil {
+		return p, nil
+	}
+	a := refuse(reason.NoUpstream)
+	return nil, &a
+}
+
+func (f *forwarder) placeOrder(c *call, e *entry) (*routing.Endpoint, *answer) {
+	place := f.orders.ledger.Locate(c.service, c.key)
+	if place.Node == "" {
+		a := refuseAs(place.Reason, place.Effect, place.RetryAfter)
+		return nil, &a
+	}
+	if p := e.onNode(place.Node); p != nil {
+		return p, nil
+	}
+	a := refuse(reason.NoUpstream)
+	return nil, &a
+}
+
+// try sends the call to one endpoint.
+func (f *forwarder) try(c *call, e *entry, p *routing.Endpoint) (answer, func(error)) {
+	c.upstream = p.Upstream
+	var a answer
+	var done func(error)
+	if p.Node == f.self {
+		a, done = f.receiver.run(c)
+	} else {
+		a, done = f.hop(c, p)
+	}
+	end := func(err error) {
+		done(err)
+		f.ended(c, e, p, &a, err)
+	}
+	if a.reply == nil || a.reply.Stream == nil {
+		end(nil)
+		return a, noop
+	}
+	return a, end
+}
+
+// ended takes in how a try ended.
+func (f *forwarder) ended(c *call, e *entry, p *routing.Endpoint, a *answer, err error) {
+	if !e.done(p, c, a.load, judge(c, a, err), time.Now()) {
+		return
+	}
+	f.metrics.ejected.WithLabelValues(c.service).Inc()
+	f.log.Emit(event.EndpointEjected, event.F("service", c.service), event.F("node", p.Node), event.F("upstream", p.Upstream), event.F("reason", a.reason))
+}
+
+// judge says what an answer tells about the endpoint's health. Refusals for
+// load tell nothing, and neither do calls that asked for too little time.
+func judge(c *call, a *answer, err error) verdict {
+	switch a.reason {
+	case "":
+		if err != nil || a.reply.Header.StatusCode() >= 500 {
+			return verdictBad
+		}
+		return verdictGood
+	case reason.ConnectFailed, reason.ReplyBroken, reason.UpstreamError:
+		return verdictBad
+	case reason.DeadlineExceeded:
+		if !c.impatient {
+			return verdictBad
+		}
+	}
+	return verdictNone
+}
+
+// hop sends the call to another node.
+func (f *forwarder) hop(c *call, p *routing.Endpoint) (answer, func(error)) {
+	hop := Hop{Depth: c.depth, Class: c.class, Service: c.service, Upstream: p.Upstream}
+	c.header.Set(HeaderHop, hop.Encode(f.token))
+	reply := &client.Reply{}
+	failure := f.pool(p.Address).Do(c.ctx, c.request(time.Now()), reply)
+	c.header.Del(HeaderHop)
+	if failure != nil {
+		return failureAnswer(failure), noop
+	}
+	h := &reply.Header
+	a := answer{
+		reply:    reply,
+		reason:   reason.Reason(h.Peek(reason.HeaderReason)),
+		effect:   reason.Effect(h.Peek(reason.HeaderEffect)),
+		replayed: len(h.Peek(reason.HeaderReplayed)) > 0,
+		load:     string(h.Peek(HeaderLoad)),
+	}
+	if a.failed() && len(h.Peek(reason.HeaderRetryAfter)) > 0 {
+		a.retryAfter = parseRetryAfter(h.Peek(reason.HeaderRetryAfter))
+		h.Del(reason.HeaderRetryAfter)
+	}
+	return a, noop
+}
+
+// pool returns the connections to another node.
+func (f *forwarder) pool(address string) *client.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.pools[address]
+	if !ok {
+		p = client.NewPool(address, maxNodeConns)
+		f.pools[address] = p
+	}
+	return p
+}
+
+// closePools closes the idle connections to other nodes.
+func (f *forwarder) closePools() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		p.Close()
+	}
+}
+
+// again decides whether a failed try is followed by another and counts it.
+func (f *forwarder) again(c *call, e *entry, a *answer, number int) bool {
+	if a.reason == reason.KeyUnowned && f.orders.ledger != nil {
+		f.orders.ledger.Moved(c.service)
+	}
+	v := retry.Decide(retry.Try{
+		Number:     number,
+		Attempts:   c.attempts,
+		Idempotent: c.idempotent && c.class != model.ClassOrder,
+		Replayable: c.replayable(),
+		Nested:     c.nested,
+		Reason:     a.reason,
+		Effect:     a.effect,
+		Remaining:  c.remaining(time.Now()),
+	})
+	if isCancelled(c.ctx) || v == retry.Stop {
+		return false
+	}
+	if v == retry.Paid && !e.take() {
+		f.metrics.denied.WithLabelValues(string(c.class), string(a.reason)).Inc()
+		return false
+	}
+	f.metrics.retries.WithLabelValues(string(c.class), string(a.reason)).Inc()
+	return true
+}
--- /dev/null
+++ b/pkg/proxy/handle.go
@@ -0,0 +1,193 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/deadline"
+	"github.com/tarragondrum/tarragondrum/pkg/event"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/reason"
+	"github.com/tarragondrum/tarragondrum/pkg/snapshot"
+)
+
+// runner answers a call: the forwarder on the first node, the receiver on the
+// node of the upstream.
+type runner func(*call) (answer, func(error))
+
+// match finds the route of a call on a listener.
+type match func(s *snapshot.Snapshot, method, host, path string) (*bundle.Route, bool)
+
+// first answers a call that came from its caller. trusted callers may send
+// HeaderDepth.
+func (s *shared) first(ctx context.Context, rc *app.RequestContext, m match, trusted bool) {
+	start := time.Now()
+	snap := s.options.Holder.Current()
+	if snap == nil {
+		s.refuse(rc, "", refuse(reason.NoBundle))
+		return
+	}
+	rc.Response.Header.Set(reason.HeaderVersion, strconv.FormatUint(uint64(snap.Version()), 10))
+	h := &rc.Request.Header
+	route, ok := m(snap, string(h.Method()), string(h.Host()), string(rc.Request.URI().Path()))
+	if !ok {
+		s.refuse(rc, "", refuse(reason.NoRoute))
+		return
+	}
+	svc, ok := snap.Service(route.Service)
+	if !ok {
+		s.refuse(rc, route.Class, refuse(reason.NoRoute))
+		return
+	}
+	if s.stopping.Load() && !trusted {
+		s.refuse(rc, route.Class, refuse(reason.NodeStopping))
+		return
+	}
+	c := &call{
+		start:    start,
+		service:  svc.Name,
+		class:    route.Class,
+		attempts: max(1, route.Attempts),
+		budget:   svc.RetryBudgetPercent,
+		warmup:   svc.Warmup.Std(),
+		ejected:  svc.MaxEjectedPercent,
+	}
+	asked, err := parseAsked(h.Peek(deadline.Header))
+	if err == nil && trusted {
+		c.depth, err = ParseDepth(string(h.Peek(HeaderDepth)))
+		c.nested = c.depth.Retried
+	}
+	if err != nil {
+		a := refuse(reason.BadRequest)
+		a.detail = err.Error()
+		s.refuse(rc, c.class, a)
+		return
+	}
+	c.depth.Level++
+	if c.depth.Level > MaxDepth {
+		s.options.Log.Emit(event.LoopFound, event.F("service", c.service), event.F("depth", c.depth.Level))
+		s.refuse(rc, c.class, refuse(reason.LoopDetected))
+		return
+	}
+	limit := deadline.Timeout(-1, route.Timeout.Std(), svc.Timeout.Std())
+	timeout := deadline.Timeout(asked, route.Timeout.Std(), svc.Timeout.Std())
+	c.impatient = timeout < limit
+	c.deadline = start.Add(timeout)
+	s.serve(ctx, rc, c, sideFirst, s.forwarder.serve, svc.MaxBodyBytes)
+}
+
+// parseAsked reads the time that a caller asks for; -1 means that it does not.
+func parseAsked(value []byte) (time.Duration, error) {
+	if len(value) == 0 {
+		return -1, nil
+	}
+	return deadline.Parse(string(value))
+}
+
+// last answers a call that another node sent.
+func (s *shared) last(ctx context.Context, rc *app.RequestContext, hop Hop) {
+	start := time.Now()
+	asked, err := parseAsked(rc.Request.Header.Peek(deadline.Header))
+	if err != nil {
+		a := refuse(reason.BadRequest)
+		a.detail = err.Error()
+		s.refuse(rc, hop.Class, a)
+		return
+	}
+	if s.stopping.Load() {
+		s.refuse(rc, hop.Class, refuse(reason.NodeStopping))
+		return
+	}
+	if asked < 0 {
+		asked = deadline.Default
+	}
+	c := &call{
+		start:    start,
+		service:  hop.Service,
+		upstream: hop.Upstream,
+		class:    hop.Class,
+		depth:    hop.Depth,
+		deadline: start.Add(asked),
+	}
+	// The first node has checked the body's bound by its own bundle.
+	s.serve(ctx, rc, c, sideUpstream, s.receiver.run, 0)
+}
+
+// serve reads the body, runs the call and writes its answer.
+func (s *shared) serve(ctx context.Context, rc *app.RequestContext, c *call, on side, run runner, maxBody int64) {
+	if conn := connOf(ctx); conn != nil {
+		conn.bound(c.deadline)
+	}
+	c.readHeader(&rc.Request.Header)
+	if most := s.options.Settings.Inbound.MaxBodyBytes; most > 0 && (maxBody <= 0 || most < maxBody) {
+		maxBody = most
+	}
+	if err := c.readBody(&rc.Request, maxBody); err != nil {
+		a := refuse(bodyProblem(err))
+		a.effect = reason.NotRun
+		rc.SetConnectionClose()
+		s.refuse(rc, c.class, a)
+		return
+	}
+	c.mark()
+	unwatch := senseCaller(rc, c)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	c.ctx = ctx
+	a, done := run(c)
+	s.metrics.took(on, c.class, time.Since(c.start))
+	s.count(on, c.class, &a)
+	if on == sideUpstream && a.load != "" {
+		rc.Response.Header.Set(HeaderLoad, a.load)
+	}
+	if !c.replayable() && a.failed() {
+		// The rest of the body has not been read.
+		rc.SetConnectionClose()
+	}
+	a.write(rc, s.options.Log, func(err error) {
+		done(err)
+		unwatch()
+		cancel()
+	})
+}
+
+// count counts the answer where it goes back to the caller; the receiver counts
+// its own refusals.
+func (s *shared) count(on side, class model.Class, a *answer) {
+	if on != sideFirst {
+		return
+	}
+	if a.failed() {
+		s.metrics.refused(sideFirst, class, a.reason, a.effect)
+		return
+	}
+	s.metrics.answered(class, a.reply.Header.StatusCode())
+}
+
+// refuse answers a call that was not even read whole.
+func (s *shared) refuse(rc *app.RequestContext, class model.Class, a answer) {
+	s.metrics.refused(sideFirst, class, a.reason, a.effect)
+	if rc.Request.IsBodyStream() {
+		rc.SetConnectionClose()
+	}
+	a.writeRefusal(rc)
+}
+
+// hopOf returns the hop that another node sent, if any. Hop headers from
+// anybody else are ignored.
+func (s *shared) hopOf(rc *app.RequestContext) (hop Hop, fromNode bool, err error) {
+	value := rc.Request.Header.Peek(HeaderHop)
+	if len(value) == 0 {
+		return Hop{}, false, nil
+	}
+	hop, err = ParseHop(string(value), s.forwarder.token)
+	if errors.Is(err, ErrToken) {
+		s.options.Log.Emit(event.HopRejected, event.F("remote", rc.RemoteAddr().String()))
+		return Hop{}, false, nil
+	}
+	return hop, true, err
+}
--- /dev/null
+++ b/pkg/proxy/table.go
@@ -0,0 +1,248 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/event"
+	"github.com/tarragondrum/tarragondrum/pkg/membership"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/outlier"
+	"github.com/tarragondrum/tarragondrum/pkg/retry"
+	"github.com/tarragondrum/tarragondrum/pkg/routing"
+)
+
+// minRebuild is the shortest time between two readings of the membership.
+const minRebuild = 10 * time.Millisecond
+
+// table keeps the endpoints of the services that this node calls, up to date
+// with the membership.
+type table struct {
+	members membership.Source
+	log     *event.Log
+	metrics *Metrics
+
+	mu      sync.RWMutex
+	view    *membership.View
+	entries map[string]*entry
+}
+
+// entry holds the endpoints of one service.
+type entry struct {
+	service string
+
+	mu        sync.Mutex
+	endpoints []*routing.Endpoint
+	chooser   routing.Chooser
+	budget    *retry.Budget
+}
+
+func newTable(members membership.Source, log *event.Log, m *Metrics) *table {
+	return &table{members: members, log: log, metrics: m, view: members.View(), entries: make(map[string]*entry)}
+}
+
+// follow keeps the table up to date until ctx ends.
+func (t *table) follow(ctx context.Context) {
+	for {
+		changed := t.members.Changed()
+		t.update()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minRebuild):
+		}
+	}
+}
+
+// update reads the newest view into every entry.
+func (t *table) update() {
+	view := t.members.View()
+	t.mu.Lock()
+	if view.Index == t.view.Index {
+		t.mu.Unlock()
+		return
+	}
+	t.view = view
+	entries := make([]*entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		entries = append(entries, e)
+	}
+	t.mu.Unlock()
+	byService := endpointsOf(view)
+	for _, e := range entries {
+		e.replace(byService[e.service])
+	}
+}
+
+// entry returns the endpoints of a service.
+func (t *table) entry(service string) *entry {
+	t.mu.RLock()
+	e, ok := t.entries[service]
+	t.mu.RUnlock()
+	if ok {
+		return e
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.entries[service]; ok {
+		return e
+	}
+	e = &entry{service: service, budget: retry.NewBudget(), chooser: routing.Chooser{Policy: routing.TwoChoices}}
+	e.replace(endpointsOf(t.view)[service])
+	t.entries[service] = e
+	return e
+}
+
+// endpointsOf returns the endpoints of a view that may get calls, by service.
+func endpointsOf(v *membership.View) map[string][]*routing.Endpoint {
+	self := v.Members[v.Self]
+	out := make(map[string][]*routing.Endpoint)
+	for _, m := range v.Members {
+		if m.Stopping || m.Status == membership.StatusFailed || m.Status == membership.StatusLeft {
+			continue
+		}
+		for _, u := range m.Upstreams {
+			if u.State != model.UpstreamRunning {
+				continue
+			}
+			out[u.Service] = append(out[u.Service], &routing.Endpoint{
+				Key:      routing.Key{Node: m.ID, Upstream: u.Name},
+				Address:  m.InboundAddr,
+				Tier:     tierOf(self, m),
+				Slots:    u.Slots,
+				Since:    u.Since,
+				Classes:  u.Classes,
+				Doubtful: m.Status == membership.StatusSuspect,
+			})
+		}
+	}
+	return out
+}
+
+func tierOf(self, m membership.Member) routing.Tier {
+	switch {
+	case m.Status == membership.StatusUnreachable:
+		return routing.TierUnreachable
+	case m.DataCentre == self.DataCentre:
+		return routing.TierDataCentre
+	case m.Region == self.Region:
+		return routing.TierRegion
+	}
+	return routing.TierRemote
+}
+
+// replace takes over new endpoints and keeps what was observed of the old ones.
+func (e *entry) replace(endpoints []*routing.Endpoint) {
+	sort.Slice(endpoints, func(i, j int) bool {
+		a, b := endpoints[i].Key, endpoints[j].Key
+		return a.Node < b.Node || (a.Node == b.Node && a.Upstream < b.Upstream)
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := make(map[routing.Key]*routing.Endpoint, len(e.endpoints))
+	for _, p := range e.endpoints {
+		old[p.Key] = p
+	}
+	for _, p := range endpoints {
+		p.State = &routing.State{}
+		if before, ok := old[p.Key]; ok {
+			p.State = before.State
+			if p.Since.After(before.Since) {
+				p.State.Outlier = outlier.Endpoint{}
+			}
+		}
+	}
+	e.endpoints = endpoints
+}
+
+// pick chooses an endpoint and counts the call as in flight there.
+func (e *entry) pick(c *call, tried []routing.Key, now time.Time) *routing.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := routing.Request{
+		Now:    now,
+		Class:  c.class,
+		Warmup: c.warmup,
+		Panic:  outlier.Panic(e.ejected(now), len(e.endpoints), c.ejected),
+		Tried:  tried,
+	}
+	p := e.chooser.Pick(e.endpoints, &r, rand.IntN)
+	if p != nil {
+		p.State.InFlight++
+	}
+	return p
+}
+
+// onNode returns the endpoint of the given node and counts the call there.
+func (e *entry) onNode(node model.NodeID) *routing.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.endpoints {
+		if p.Node == node {
+			p.State.InFlight++
+			return p
+		}
+	}
+	return nil
+}
+
+// ejected counts the endpoints that are out. The caller holds mu.
+func (e *entry) ejected(now time.Time) int {
+	n := 0
+	for _, p := range e.endpoints {
+		if p.State.Outlier.Ejected(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// verdict is what a call tells about its endpoint.
+type verdict int
+
+const (
+	verdictNone verdict = iota
+	verdictGood
+	verdictBad
+)
+
+// done takes in how a call ended at an endpoint and reports whether that
+// ejected it.
+func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l, ok := parseLoad(load); ok {
+		p.State.Report(now, l.Running, l.Queued, l.Limit)
+	}
+	p.State.InFlight--
+	if v == verdictNone || !p.State.Outlier.Record(now, v == verdictGood) {
+		return false
+	}
+	if !outlier.Allowed(e.ejected(now), len(e.endpoints), c.ejected) {
+		return false
+	}
+	p.State.Outlier.Eject(now)
+	return true
+}
+
+// call adds one call's share to the retry budget.
+func (e *entry) call(percent int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.Call(percent)
+}
+
+// take uses up one retry of the budget.
+func (e *entry) take() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Take()
+}
