--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -55,6 +55,7 @@
 	KindProgress       Kind = 23
 	KindOrderTransfer  Kind = 30
 	KindOrderAdmission Kind = 31
+	KindOrderRecord    Kind = 32
 )
 
 // Peer is the address of another node.
