--- a/pkg/bundlestore/bundlestore.go
+++ b/pkg/bundlestore/bundlestore.go
@@ -33,8 +33,8 @@
 	// maxPartBytes is the raw size of a part; base64 and the platform's own
 	// envelope stay below platform.MaxValueBytes.
 	maxPartBytes = 700 << 10
-	// writeAttempts bounds the tries of one idempotent write.
-	writeAttempts = 4
+	// writeAttempts bounds the tries of one conditional update.
+	writeAttempts = 8
 )
 
 // Head is the object that says which bundle is in force.
@@ -127,6 +127,10 @@
 	Parts    []Part    `json:"parts"`
 	Services int       `json:"services"`
 	Routes   int       `json:"routes"`
+	State    State     `json:"state"`
+	// Version is the version that a sign-off gives or gave to the bundle; zero
+	// before the first sign-off.
+	Version model.Version `json:"version,omitempty"`
 }
 
 type partValue struct {
--- /dev/null
+++ b/pkg/bundlestore/bundlestore_test.go
@@ -0,0 +1,331 @@
+package bundlestore_test
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+)
+
+var meta = bundlestore.Meta{Preparer: "ioana", Time: time.Date(2026, 3, 12, 12, 0, 0, 0, time.UTC)}
+
+func save(t *testing.T, store platform.Store, b bundle.Bundle) bundle.ID {
+	t.Helper()
+	id, err := bundlestore.Save(t.Context(), store, &b, meta)
+	is.New(t).NoErr(err)
+	return id
+}
+
+func named(name string) bundle.Bundle {
+	return bundle.Bundle{Services: []bundle.Service{{Name: name}}}
+}
+
+// large returns a bundle whose encoding takes several parts.
+func large() bundle.Bundle {
+	var b bundle.Bundle
+	noise := rand.NewChaCha8([32]byte{1})
+	path := make([]byte, 600)
+	for i := range 1250 {
+		_, _ = noise.Read(path)
+		probe := bundle.Probe{Path: "/" + hex.EncodeToString(path)}
+		b.Services = append(b.Services, bundle.Service{Name: fmt.Sprintf("s%05d", i), Probe: probe})
+	}
+	b.Normalize()
+	return b
+}
+
+func TestLoadOfSaveIsTheSame(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		store := fake.New()
+		b := bundletest.Bundle().Draw(rt, "bundle")
+		id, err := bundlestore.Save(t.Context(), store, &b, meta)
+		is.NoErr(err)
+		got, err := bundlestore.Load(t.Context(), store, id)
+		is.NoErr(err)
+		is.Equal(got, b)
+		again, err := bundlestore.Save(t.Context(), store, &got, bundlestore.Meta{Preparer: "mihai"})
+		is.NoErr(err)
+		is.Equal(again, id)
+	})
+}
+
+func TestSavingTwiceWritesNothing(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	id := save(t, store, named("one"))
+	writes := store.Calls().Put
+	is.Equal(save(t, store, named("one")), id)
+	is.Equal(store.Calls().Put, writes)
+}
+
+func TestLargeBundleIsReadableWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	b := large()
+	id := save(t, store, b)
+	parts, _, err := store.List(ctx, platform.CollectionParts)
+	is.NoErr(err)
+	is.True(len(parts) > 1)
+	got, err := bundlestore.Load(ctx, store, id)
+	is.NoErr(err)
+	is.Equal(got, b)
+
+	damages := map[string]func(platform.Object){
+		"missing": func(o platform.Object) { is.NoErr(store.Delete(ctx, o.Key, o.Revision)) },
+		"changed": func(o platform.Object) {
+			value := json.RawMessage(strings.Replace(string(o.Value), "A", "B", 1))
+			_, err := store.Put(ctx, o.Key, value, o.Revision)
+			is.NoErr(err)
+		},
+		"not a part": func(o platform.Object) {
+			_, err := store.Put(ctx, o.Key, json.RawMessage(`[]`), o.Revision)
+			is.NoErr(err)
+		},
+	}
+	for name, damage := range damages {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o, err := store.Get(ctx, parts[1].Key)
+			is.NoErr(err)
+			damage(o)
+			_, err = bundlestore.Load(ctx, store, id)
+			is.True(errors.Is(err, bundlestore.ErrNotReadable))
+			is.Equal(save(t, store, b), id) // preparing again repairs it
+			_, err = bundlestore.Load(ctx, store, id)
+			is.NoErr(err)
+		})
+	}
+}
+
+func TestManifestThatLeadsToOtherContentIsRefused(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	one, two := save(t, store, named("one")), save(t, store, named("two"))
+	m, _, err := bundlestore.LoadManifest(ctx, store, one)
+	is.NoErr(err)
+	// The parts of the first bundle, under the second one's id.
+	for _, p := range m.Parts {
+		o, err := store.Get(ctx, platform.Key{Collection: platform.CollectionParts, Name: string(one) + "-" + p.Name})
+		is.NoErr(err)
+		_, err = store.Put(ctx, platform.Key{Collection: platform.CollectionParts, Name: string(two) + "-" + p.Name}, o.Value, "")
+		is.NoErr(err)
+	}
+	_, revision, err := bundlestore.LoadManifest(ctx, store, two)
+	is.NoErr(err)
+	m.Bundle = two
+	value, err := json.Marshal(m)
+	is.NoErr(err)
+	_, err = store.Put(ctx, platform.Key{Collection: platform.CollectionBundles, Name: string(two)}, value, revision)
+	is.NoErr(err)
+	_, err = bundlestore.Load(ctx, store, two)
+	is.True(errors.Is(err, bundlestore.ErrNotReadable))
+	is.True(errors.Is(err, bundle.ErrContent))
+}
+
+func TestSaveThroughFaults(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	store.LoseAnswers(3) // one for each of the writes
+	id := save(t, store, named("one"))
+	_, err := bundlestore.Load(t.Context(), store, id)
+	is.NoErr(err)
+	store.SetDown(true)
+	b := named("two")
+	_, err = bundlestore.Save(t.Context(), store, &b, meta)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	store.SetDown(false)
+	save(t, store, b) // a half-stored bundle is finished by the next attempt
+}
+
+func TestClaimedBundleCannotBeWithdrawn(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	id := save(t, store, named("one"))
+	_, err := bundlestore.Claim(ctx, store, id, 1)
+	is.NoErr(err)
+	is.True(errors.Is(bundlestore.Withdraw(ctx, store, id), bundlestore.ErrState))
+
+	// Another bundle becomes version 1, so that the sign-off has lost.
+	accept(t, store, save(t, store, named("two")))
+	is.NoErr(bundlestore.Withdraw(ctx, store, id))
+	_, err = bundlestore.Claim(ctx, store, id, 2)
+	is.True(errors.Is(err, bundlestore.ErrState))
+	save(t, store, named("one")) // until it is prepared again
+	_, err = bundlestore.Claim(ctx, store, id, 2)
+	is.NoErr(err)
+}
+
+// accept puts a bundle in force without a signature.
+func accept(t *testing.T, store platform.Store, id bundle.ID) {
+	t.Helper()
+	is := is.New(t)
+	head, revision, err := bundlestore.ReadHead(t.Context(), store)
+	is.NoErr(err)
+	a := bundle.Acceptance{Version: head.Acceptance.Version + 1, Bundle: id, Operation: fmt.Sprint(head.Acceptance.Version)}
+	value, err := json.Marshal(head.Next(a))
+	is.NoErr(err)
+	_, err = store.Put(t.Context(), bundlestore.HeadKey(), value, revision)
+	is.NoErr(err)
+}
+
+func TestStatesFollowTheHead(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	ids := []bundle.ID{save(t, store, named("one")), save(t, store, named("two")), save(t, store, named("three"))}
+	for i, id := range ids[:2] {
+		_, err := bundlestore.Claim(ctx, store, id, model.Version(i+1))
+		is.NoErr(err)
+		accept(t, store, id)
+	}
+	is.NoErr(bundlestore.Settle(ctx, store, ids[1], 2, true))
+	entries, _, err := bundlestore.List(ctx, store)
+	is.NoErr(err)
+	states := make(map[bundle.ID]bundlestore.State)
+	for _, e := range entries {
+		states[e.Bundle] = e.State
+	}
+	is.Equal(states[ids[0]], bundlestore.StateSuperseded) // though it was never settled
+	is.Equal(states[ids[1]], bundlestore.StateAccepted)
+	is.Equal(states[ids[2]], bundlestore.StatePrepared)
+	is.True(errors.Is(bundlestore.Remove(ctx, store, ids[1]), bundlestore.ErrState))
+	is.NoErr(bundlestore.Remove(ctx, store, ids[2]))
+	_, err = bundlestore.Load(ctx, store, ids[2])
+	is.True(errors.Is(err, bundlestore.ErrNotPrepared))
+}
+
+func TestRetention(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	for i := range 6 {
+		id := save(t, store, named(fmt.Sprintf("s%d", i)))
+		if i < 4 {
+			_, err := bundlestore.Claim(t.Context(), store, id, model.Version(i+1))
+			is.NoErr(err)
+			accept(t, store, id)
+		}
+	}
+	r := bundlestore.Retention{Waiting: time.Hour, MaxWaiting: 1, MaxSuperseded: 2, MaxRemovals: 8}
+	removed, err := bundlestore.Prune(t.Context(), store, r, meta.Time)
+	is.NoErr(err)
+	is.Equal(len(removed), 2) // one waiting, one superseded
+	removed, err = bundlestore.Prune(t.Context(), store, r, meta.Time.Add(2*time.Hour))
+	is.NoErr(err)
+	is.Equal(len(removed), 1) // the other waiting one is too old now
+	entries, head, err := bundlestore.List(t.Context(), store)
+	is.NoErr(err)
+	is.Equal(len(entries), 3)
+	is.Equal(head.Acceptance.Version, model.Version(4))
+}
+
+// A removal and a preparation of the same content cross each other in every
+// place: whatever is signed off in the end is readable.
+func TestRemovalNeverTakesPartsOfAnAcceptedBundle(t *testing.T) {
+	b := named("one")
+	prepare := func(t *testing.T, via, store platform.Store) {
+		id, err := bundlestore.Save(t.Context(), via, &b, meta)
+		if err == nil {
+			_, err = bundlestore.Load(t.Context(), store, id)
+		}
+		is.New(t).NoErr(err)
+	}
+	remove := func(t *testing.T, store, _ platform.Store) {
+		id, _ := b.ContentID()
+		_ = bundlestore.Remove(t.Context(), store, id)
+	}
+	orders := map[string]struct {
+		outer, inner func(t *testing.T, via, store platform.Store)
+	}{
+		"prepared during a removal": {remove, prepare},
+		"removed while preparing":   {prepare, remove},
+	}
+	for name, order := range orders {
+		for stop := range 12 {
+			t.Run(fmt.Sprintf("%s after %d calls", name, stop), func(t *testing.T) {
+				is := is.New(t)
+				store := fake.New()
+				id := save(t, store, b)
+				is.NoErr(bundlestore.Withdraw(t.Context(), store, id))
+				paused := &bundletest.PausingStore{Store: store, Calls: stop, Pause: func() {
+					order.inner(t, store, store)
+					signOff(t, store, id)
+				}}
+				order.outer(t, paused, store)
+				signOff(t, store, id)
+				head, _, err := bundlestore.ReadHead(t.Context(), store)
+				is.NoErr(err)
+				if head.Acceptance.Version > 0 {
+					_, err = bundlestore.Load(t.Context(), store, id)
+					is.NoErr(err)
+				}
+			})
+		}
+	}
+}
+
+// signOff accepts the bundle in the order that package signoff keeps, unless it
+// is not readable.
+func signOff(t *testing.T, store platform.Store, id bundle.ID) {
+	t.Helper()
+	if _, err := bundlestore.Claim(t.Context(), store, id, 1); err != nil {
+		return
+	}
+	if _, err := bundlestore.Load(t.Context(), store, id); err == nil {
+		accept(t, store, id)
+	}
+}
+
+func TestHistoryOutlivesTheHead(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	const versions = 540
+	for range versions {
+		accept(t, store, "x")
+		head, _, err := bundlestore.ReadHead(ctx, store)
+		is.NoErr(err)
+		if head.Acceptance.Version%bundlestore.MaxRecent == 0 {
+			is.NoErr(bundlestore.Archive(ctx, store, head))
+		}
+	}
+	list, err := bundlestore.History(ctx, store, 1000)
+	is.NoErr(err)
+	is.Equal(len(list), versions)
+	for i, a := range list {
+		is.Equal(a.Version, model.Version(versions-i))
+	}
+	a, err := bundlestore.AcceptanceOf(ctx, store, 7)
+	is.NoErr(err)
+	is.Equal(a.Version, model.Version(7))
+	_, err = bundlestore.AcceptanceOf(ctx, store, versions+1)
+	is.True(errors.Is(err, bundlestore.ErrNotPrepared))
+}
+
+func TestMalformedHeadIsAnError(t *testing.T) {
+	for _, value := range []string{`{}`, `[]`, `{"acceptance":{"version":"x"}}`} {
+		is := is.New(t)
+		store := fake.New()
+		_, err := store.Put(t.Context(), bundlestore.HeadKey(), json.RawMessage(value), "")
+		is.NoErr(err)
+		_, _, err = bundlestore.ReadHead(t.Context(), store)
+		is.True(errors.Is(err, bundlestore.ErrMalformed))
+	}
+}
--- a/pkg/bundlestore/load.go
+++ b/pkg/bundlestore/load.go
@@ -17,13 +17,9 @@
 	if err != nil {
 		return bundle.Bundle{}, err
 	}
-	var data []byte
-	for _, p := range m.Parts {
-		chunk, err := loadPart(ctx, store, p)
-		if err != nil {
-			return bundle.Bundle{}, fmt.Errorf("load bundle %.12s: %w", id, err)
-		}
-		data = append(data, chunk...)
+	data, err := loadParts(ctx, store, m)
+	if err != nil {
+		return bundle.Bundle{}, fmt.Errorf("load bundle %.12s: %w", id, err)
 	}
 	b, err := bundle.Decode(data)
 	if err != nil {
@@ -39,7 +35,8 @@
 	return b, nil
 }
 
-// LoadManifest returns the manifest of a bundle and its revision.
+// LoadManifest returns the manifest of a bundle and its revision. The revision
+// is also returned with ErrMalformed.
 func LoadManifest(ctx context.Context, store platform.Store, id bundle.ID) (Manifest, platform.Revision, error) {
 	o, err := store.Get(ctx, manifestKey(id))
 	if errors.Is(err, platform.ErrNotFound) {
@@ -49,30 +46,7 @@
 		return Manifest{}, "", fmt.Errorf("load bundle %.12s: %w", id, err)
 	}
 	m, err := decodeManifest(o)
-	if err != nil {
-		return Manifest{}, "", err
-	}
-	if m.Bundle != id {
-		return Manifest{}, "", fmt.Errorf("manifest %.12s names bundle %.12s: %w", id, m.Bundle, ErrNotReadable)
-	}
-	return m, o.Revision, nil
-}
-
-// ListManifests returns every stored bundle's manifest, sorted by id.
-func ListManifests(ctx context.Context, store platform.Store) ([]Manifest, error) {
-	objects, _, err := store.List(ctx, platform.CollectionBundles)
-	if err != nil {
-		return nil, fmt.Errorf("list bundles: %w", err)
-	}
-	manifests := make([]Manifest, 0, len(objects))
-	for _, o := range objects {
-		m, err := decodeManifest(o)
-		if err != nil {
-			return nil, err
-		}
-		manifests = append(manifests, m)
-	}
-	return manifests, nil
+	return m, o.Revision, err
 }
 
 func decodeManifest(o platform.Object) (Manifest, error) {
@@ -80,23 +54,42 @@
 	if err := json.Unmarshal(o.Value, &m); err != nil {
 		return Manifest{}, fmt.Errorf("manifest %.12s: %w: %w", o.Key.Name, ErrMalformed, err)
 	}
+	if string(m.Bundle) != o.Key.Name {
+		return Manifest{}, fmt.Errorf("manifest %.12s names bundle %.12s: %w", o.Key.Name, m.Bundle, ErrMalformed)
+	}
 	return m, nil
 }
 
-func loadPart(ctx context.Context, store platform.Store, p Part) ([]byte, error) {
-	o, err := store.Get(ctx, partKey(p.Name))
+// loadParts returns the encoding of a bundle, each part checked against its hash.
+func loadParts(ctx context.Context, store platform.Store, m Manifest) ([]byte, error) {
+	var data []byte
+	for _, p := range m.Parts {
+		piece, err := loadPart(ctx, store, m.Bundle, p)
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, piece...)
+		if len(data) > bundle.MaxContentBytes {
+			return nil, fmt.Errorf("parts have more than %d bytes: %w", bundle.MaxContentBytes, ErrNotReadable)
+		}
+	}
+	return data, nil
+}
+
+func loadPart(ctx context.Context, store platform.Store, id bundle.ID, p Part) ([]byte, error) {
+	o, err := store.Get(ctx, partKey(id, p))
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil, fmt.Errorf("part %.12s is missing: %w", p.Name, ErrNotReadable)
 	}
 	if err != nil {
 		return nil, err
 	}
-	data, err := decodePart(o)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotReadable, err)
+	var v partValue
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		return nil, fmt.Errorf("part %.12s: %w: %w", p.Name, ErrNotReadable, err)
 	}
-	if hashName(data) != p.Name {
+	if hashName(v.Data) != p.Name {
 		return nil, fmt.Errorf("part %.12s does not match its hash: %w", p.Name, ErrNotReadable)
 	}
-	return data, nil
+	return v.Data, nil
 }
--- a/pkg/bundlestore/save.go
+++ b/pkg/bundlestore/save.go
@@ -1,21 +1,31 @@
 package bundlestore
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
 )
 
-// Save stores a normalized bundle and returns its id. Saving the same content
-// again changes nothing but repairs parts that are missing or damaged; the
-// first preparer stays on record.
+// chunk is one part with its data.
+type chunk struct {
+	Part
+	data []byte
+}
+
+// Save stores a normalized bundle and returns its id. Saving content that is
+// stored already changes nothing, but for parts that are missing or damaged,
+// which it repairs; the first preparer stays on record.
+//
+// The manifest stands, as storing, before the parts are written and becomes
+// prepared after them, only if it was not touched in between. Remove relies on
+// this order.
 func Save(ctx context.Context, store platform.Store, b *bundle.Bundle, meta Meta) (bundle.ID, error) {
 	id, err := b.ContentID()
 	if err != nil {
@@ -25,20 +35,81 @@
 	if err != nil {
 		return "", err
 	}
-	m := Manifest{Bundle: id, Meta: meta, Services: len(b.Services), Routes: len(b.Routes)}
-	for len(data) > 0 {
-		chunk := data[:min(len(data), maxPartBytes)]
-		data = data[len(chunk):]
-		part := Part{Name: hashName(chunk), Size: len(chunk)}
-		if err := savePart(ctx, store, part, chunk); err != nil {
+	chunks := split(data)
+	m := Manifest{Bundle: id, Meta: meta, Services: len(b.Services), Routes: len(b.Routes), State: StateStoring}
+	for _, c := range chunks {
+		m.Parts = append(m.Parts, c.Part)
+	}
+	var last error
+	for range writeAttempts {
+		done, err := save(ctx, store, m, chunks)
+		if done {
+			return id, nil
+		}
+		if !isUncertain(err) {
 			return "", fmt.Errorf("save bundle %.12s: %w", id, err)
 		}
-		m.Parts = append(m.Parts, part)
+		last = err
+	}
+	return "", fmt.Errorf("save bundle %.12s: gave up after %d attempts: %w", id, writeAttempts, last)
+}
+
+// save makes one attempt. An uncertain error asks for another.
+func save(ctx context.Context, store platform.Store, m Manifest, chunks []chunk) (done bool, err error) {
+	stored, revision, err := beginSave(ctx, store, m)
+	if err != nil {
+		return false, err
+	}
+	if stored.State != StateStoring {
+		if _, err := loadParts(ctx, store, stored); err == nil {
+			return true, nil
+		}
+	}
+	for _, c := range chunks {
+		if err := writePart(ctx, store, m.Bundle, c); err != nil {
+			return false, err
+		}
+	}
+	if stored.State == StateStoring {
+		stored.State, err = step(StateStoring, triggerFinish)
+		if err != nil {
+			return false, err
+		}
+	}
+	_, err = putManifest(ctx, store, stored, revision)
+	return err == nil, err
+}
+
+// beginSave makes sure that a manifest with the given parts stands and returns
+// it with its revision.
+func beginSave(ctx context.Context, store platform.Store, m Manifest) (Manifest, platform.Revision, error) {
+	stored, revision, err := LoadManifest(ctx, store, m.Bundle)
+	switch {
+	case errors.Is(err, ErrNotPrepared) || errors.Is(err, ErrMalformed):
+	case err != nil:
+		return Manifest{}, "", err
+	case stored.State != StateWithdrawn && slices.Equal(stored.Parts, m.Parts):
+		return stored, revision, nil
+	case stored.State == StateWithdrawn:
+		if m.State, err = step(StateWithdrawn, triggerStore); err != nil {
+			return Manifest{}, "", err
+		}
+	default:
+		// Another encoding of the same content: keep who prepared it and its state.
+		m.Meta, m.State, m.Version = stored.Meta, stored.State, stored.Version
 	}
-	if err := saveManifest(ctx, store, m); err != nil {
-		return "", fmt.Errorf("save bundle %.12s: %w", id, err)
+	revision, err = putManifest(ctx, store, m, revision)
+	return m, revision, err
+}
+
+func split(data []byte) []chunk {
+	var chunks []chunk
+	for len(data) > 0 {
+		piece := data[:min(len(data), maxPartBytes)]
+		data = data[len(piece):]
+		chunks = append(chunks, chunk{Part: Part{Name: hashName(piece), Size: len(piece)}, data: piece})
 	}
-	return id, nil
+	return chunks
 }
 
 func hashName(data []byte) string {
@@ -46,86 +117,36 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func partKey(name string) platform.Key {
-	return platform.Key{Collection: platform.CollectionParts, Name: name}
+// partKey addresses a part. Each bundle has its own parts, so that removing one
+// bundle cannot damage another.
+func partKey(id bundle.ID, p Part) platform.Key {
+	return platform.Key{Collection: platform.CollectionParts, Name: string(id) + "-" + p.Name}
 }
 
 func manifestKey(id bundle.ID) platform.Key {
 	return platform.Key{Collection: platform.CollectionBundles, Name: string(id)}
 }
 
-// savePart writes a part unless it is stored already, whole and undamaged.
-func savePart(ctx context.Context, store platform.Store, p Part, data []byte) error {
-	value, err := json.Marshal(partValue{Data: data})
+// writePart writes a part even if it is stored already: its new revision makes
+// a removal that began earlier fail.
+func writePart(ctx context.Context, store platform.Store, id bundle.ID, c chunk) error {
+	value, err := json.Marshal(partValue{Data: c.data})
 	if err != nil {
 		return fmt.Errorf("encode part: %w", err)
 	}
-	same := func(o platform.Object) bool {
-		got, err := decodePart(o)
-		return err == nil && bytes.Equal(got, data)
-	}
-	return ensure(ctx, store, partKey(p.Name), value, same)
-}
-
-func decodePart(o platform.Object) ([]byte, error) {
-	var v partValue
-	if err := json.Unmarshal(o.Value, &v); err != nil {
-		return nil, fmt.Errorf("part %.12s: %w: %w", o.Key.Name, ErrMalformed, err)
-	}
-	return v.Data, nil
-}
-
-// saveManifest writes the manifest unless one with the same parts is stored.
-func saveManifest(ctx context.Context, store platform.Store, m Manifest) error {
-	value, err := json.Marshal(m)
-	if err != nil {
-		return fmt.Errorf("encode manifest: %w", err)
-	}
-	same := func(o platform.Object) bool {
-		got, err := decodeManifest(o)
-		return err == nil && samePartsAs(got.Parts, m.Parts)
-	}
-	return ensure(ctx, store, manifestKey(m.Bundle), value, same)
-}
-
-func samePartsAs(a, b []Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// ensure makes the object hold value, or something for which same is true. The
-// write is idempotent: after a conflict or a lost answer it reads the object
-// back and writes only against the revision that it read.
-func ensure(ctx context.Context, store platform.Store, key platform.Key, value json.RawMessage, same func(platform.Object) bool) error {
+	key := partKey(id, c.Part)
 	var revision platform.Revision
 	var last error
 	for range writeAttempts {
-		_, err := store.Put(ctx, key, value, revision)
-		if err == nil {
-			return nil
+		_, last = store.Put(ctx, key, value, revision)
+		if last == nil || !isUncertain(last) {
+			return last
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
-			return err
-		}
-		last = err
 		o, err := store.Get(ctx, key)
-		switch {
-		case errors.Is(err, platform.ErrNotFound):
-			revision = ""
-		case err != nil:
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
-		case same(o):
-			return nil
-		default:
-			revision = o.Revision
 		}
+		revision = o.Revision
 	}
 	return last
 }
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -34,6 +34,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	return Serve(ln, register, options...)
+}
+
+// Serve does the same on a listener that is bound already, and owns it.
+func Serve(ln net.Listener, register func(*server.Hertz), options ...config.Option) (*Server, error) {
 	options = append([]config.Option{
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
--- a/pkg/node/reading.go
+++ b/pkg/node/reading.go
@@ -26,7 +26,7 @@
 				return handover.PlatformReading{}, fmt.Errorf("platform head: %w", err)
 			}
 		}
-		waiting, err := readWaiting(ctx, store, head)
+		waiting, err := readWaiting(ctx, store)
 		if err != nil {
 			return handover.PlatformReading{}, err
 		}
@@ -43,27 +43,20 @@
 	}
 }
 
-// readWaiting lists bundles that were prepared since the head's acceptance or
-// on top of it, and never accepted since, oldest first.
-func readWaiting(ctx context.Context, store platform.Store, head bundlestore.Head) ([]handover.Waiting, error) {
-	manifests, err := bundlestore.ListManifests(ctx, store)
+// readWaiting lists the bundles that are prepared and wait for a sign-off,
+// oldest first.
+func readWaiting(ctx context.Context, store platform.Store) ([]handover.Waiting, error) {
+	entries, _, err := bundlestore.List(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	accepted := make(map[bundle.ID]bool)
-	for _, a := range head.All() {
-		accepted[a.Bundle] = true
-	}
 	var waiting []handover.Waiting
-	for _, m := range manifests {
-		if accepted[m.Bundle] {
-			continue
-		}
+	for _, e := range bundlestore.Waiting(entries) {
 		waiting = append(waiting, handover.Waiting{
-			Bundle:   m.Bundle,
-			Preparer: m.Meta.Preparer,
-			Time:     m.Meta.Time,
-			Reason:   m.Meta.Reason,
+			Bundle:   e.Bundle,
+			Preparer: e.Meta.Preparer,
+			Time:     e.Meta.Time,
+			Reason:   e.Meta.Reason,
 		})
 	}
 	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Time.Before(waiting[j].Time) })
--- a/pkg/platform/fake/store.go
+++ b/pkg/platform/fake/store.go
@@ -49,9 +49,13 @@
 // Calls counts the calls that the store was asked for, refused ones included. A
 // waiting watch counts as one.
 type Calls struct {
-	Get, List, Put, Delete, Watch uint64
+	Get    uint64 `json:"get"`
+	List   uint64 `json:"list"`
+	Put    uint64 `json:"put"`
+	Delete uint64 `json:"delete"`
+	Watch  uint64 `json:"watch"`
 	// Refused counts the calls among them that were refused as down or over the rate.
-	Refused uint64
+	Refused uint64 `json:"refused"`
 }
 
 // Total returns the number of calls of every kind.
--- a/pkg/platform/fake/watch.go
+++ b/pkg/platform/fake/watch.go
@@ -19,7 +19,8 @@
 	done       chan struct{}
 }
 
-// Watch reports changes of a collection after the given revision.
+// Watch reports changes of a collection after the given revision. Unlike other
+// stores, the watch goes on after a Next whose context ended.
 func (s *Store) Watch(ctx context.Context, c platform.Collection, from platform.Revision) (platform.Watch, error) {
 	if err := s.admit(ctx, &s.calls.Watch); err != nil {
 		return nil, fmt.Errorf("watch %s: %w", c, err)
@@ -55,6 +56,13 @@
 	}
 }
 
+// Revision returns the revision up to which the watch has reported everything.
+func (w *watch) Revision() platform.Revision {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	return formatRevision(w.position)
+}
+
 // Close releases the watch; a waiting Next returns.
 func (w *watch) Close() error {
 	if w.closed.CompareAndSwap(false, true) {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -11,6 +11,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"time"
 )
 
 // Errors of the object API. Clients wrap them, so use errors.Is.
@@ -29,8 +31,25 @@
 	ErrCompacted = errors.New("platform: revision compacted")
 	// ErrTooLarge: the value is over MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrRefused: the platform does not accept the call as it is, for example
+	// without a valid token; no effect, and trying again does not help.
+	ErrRefused = errors.New("platform: call refused")
 )
 
+// RateLimitError is an ErrRateLimited that says when to come back.
+type RateLimitError struct {
+	// RetryAfter is the pause that the platform asks for; zero if it does not say.
+	RetryAfter time.Duration
+}
+
+// Error describes the error.
+func (e *RateLimitError) Error() string {
+	return fmt.Sprintf("%v, retry after %s", ErrRateLimited, e.RetryAfter)
+}
+
+// Unwrap makes errors.Is find ErrRateLimited.
+func (e *RateLimitError) Unwrap() error { return ErrRateLimited }
+
 // MaxValueBytes is the largest value that one object holds.
 const MaxValueBytes = 1 << 20
 
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -22,6 +22,8 @@
 	resolveAttempts = 6
 	// resolveDelay is the first pause between them; it doubles each time.
 	resolveDelay = 100 * time.Millisecond
+	// maxReasonBytes bounds the reason, so that the head and the history stay small.
+	maxReasonBytes = 512
 )
 
 // Request asks for a bundle to be put in force.
@@ -77,7 +79,8 @@
 
 // Accept puts a prepared bundle in force. It returns a *ConflictError if
 // another version is in force than expected and an *UnknownError if the
-// platform did not tell the outcome; any other error means that nothing changed.
+// platform did not tell the outcome; any other error means that no version was
+// accepted.
 func Accept(ctx context.Context, store platform.Store, r Request) (bundle.Acceptance, error) {
 	head, revision, err := bundlestore.ReadHead(ctx, store)
 	if err != nil {
@@ -86,32 +89,50 @@
 	if head.Acceptance.Version != r.Expect {
 		return bundle.Acceptance{}, &ConflictError{Expected: r.Expect, Winner: head.Acceptance}
 	}
-	a, err := sign(ctx, store, r, head)
+	a, err := r.sign(&head)
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
+	m, err := bundlestore.Claim(ctx, store, r.Bundle, a.Version)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	if _, err := bundlestore.Load(ctx, store, r.Bundle); err != nil {
+		settle(ctx, store, &a, false)
+		return bundle.Acceptance{}, err
+	}
+	a.Preparer = m.Meta.Preparer
+	if err := a.Sign(r.KeyID, r.Key); err != nil {
+		return bundle.Acceptance{}, err
+	}
 	value, err := json.Marshal(head.Next(a))
 	if err != nil {
 		return bundle.Acceptance{}, fmt.Errorf("encode head: %w", err)
 	}
-	return commit(ctx, store, update{acceptance: a, value: value, revision: revision, expect: r.Expect})
+	a, err = commit(ctx, store, update{acceptance: a, value: value, revision: revision, expect: r.Expect})
+	var unknown *UnknownError
+	if !errors.As(err, &unknown) {
+		settle(ctx, store, &a, err == nil)
+	}
+	return a, err
 }
 
-// sign checks that the bundle is stored whole and returns its signed acceptance.
-func sign(ctx context.Context, store platform.Store, r Request, head bundlestore.Head) (bundle.Acceptance, error) {
-	m, _, err := bundlestore.LoadManifest(ctx, store, r.Bundle)
-	if err != nil {
-		return bundle.Acceptance{}, err
-	}
-	if _, err := bundlestore.Load(ctx, store, r.Bundle); err != nil {
-		return bundle.Acceptance{}, err
+// settle tidies the bundle's state; readers find out without it.
+func settle(ctx context.Context, store platform.Store, a *bundle.Acceptance, won bool) {
+	_ = bundlestore.Settle(ctx, store, a.Bundle, a.Version, won)
+}
+
+// sign returns the signed acceptance, but for its preparer, after checking the
+// request and the key.
+func (r *Request) sign(head *bundlestore.Head) (bundle.Acceptance, error) {
+	if len(r.Reason) > maxReasonBytes {
+		return bundle.Acceptance{}, fmt.Errorf("reason has %d bytes, at most %d are allowed", len(r.Reason), maxReasonBytes)
 	}
 	a := bundle.Acceptance{
 		Version:   head.Acceptance.Version + 1,
 		Bundle:    r.Bundle,
 		Parent:    head.Acceptance.Bundle,
 		Acceptor:  r.Acceptor,
-		Preparer:  m.Meta.Preparer,
 		Time:      r.Time,
 		Reason:    r.Reason,
 		Operation: r.Operation,
@@ -119,12 +140,10 @@
 	if err := a.Sign(r.KeyID, r.Key); err != nil {
 		return bundle.Acceptance{}, err
 	}
-	if r.Keyring != nil {
-		if err := r.Keyring.Verify(&a); err != nil {
-			return bundle.Acceptance{}, err
-		}
+	if r.Keyring == nil {
+		return a, nil
 	}
-	return a, nil
+	return a, r.Keyring.Verify(&a)
 }
 
 // update is one conditional update of the head.
@@ -138,7 +157,8 @@
 // commit writes the head. Once an answer was lost it reads the head before
 // every further step: the operation id tells whether the update took effect.
 // Only while the head still has the expected revision is the identical update
-// sent again, which at most one of the two can win.
+// sent again, which at most one of the two can win. It returns the acceptance
+// with every error too.
 func commit(ctx context.Context, store platform.Store, u update) (bundle.Acceptance, error) {
 	_, err := store.Put(ctx, bundlestore.HeadKey(), u.value, u.revision)
 	if err == nil {
@@ -146,7 +166,7 @@
 	}
 	sent := errors.Is(err, platform.ErrUnknownOutcome)
 	if !sent && !errors.Is(err, platform.ErrConflict) {
-		return bundle.Acceptance{}, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
+		return u.acceptance, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
 	}
 	delay := resolveDelay
 	for range resolveAttempts {
@@ -156,7 +176,7 @@
 			return u.acceptance, nil
 		}
 		if done {
-			return bundle.Acceptance{}, err
+			return u.acceptance, err
 		}
 		if pause(ctx, delay) != nil {
 			break
@@ -164,9 +184,9 @@
 		delay *= 2
 	}
 	if !sent {
-		return bundle.Acceptance{}, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
+		return u.acceptance, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
 	}
-	return bundle.Acceptance{}, &UnknownError{Operation: u.acceptance.Operation, Version: u.acceptance.Version, Cause: err}
+	return u.acceptance, &UnknownError{Operation: u.acceptance.Operation, Version: u.acceptance.Version, Cause: err}
 }
 
 // resolve reads the head back and decides. It reports done when the outcome is
--- a/pkg/signoff/signoff_test.go
+++ b/pkg/signoff/signoff_test.go
@@ -96,12 +96,36 @@
 	}
 }
 
+// headStore lets a test act around the first update of the head.
+type headStore struct {
+	*fake.Store
+	before, after func()
+}
+
+func (s *headStore) Put(ctx context.Context, key platform.Key, value json.RawMessage, revision platform.Revision) (platform.Revision, error) {
+	if key != bundlestore.HeadKey() {
+		return s.Store.Put(ctx, key, value, revision)
+	}
+	call(&s.before)
+	r, err := s.Store.Put(ctx, key, value, revision)
+	call(&s.after)
+	return r, err
+}
+
+// call calls f the first time only.
+func call(f *func()) {
+	if once := *f; once != nil {
+		*f = nil
+		once()
+	}
+}
+
 func TestLostAnswerIsResolvedToAccepted(t *testing.T) {
 	is := is.New(t)
 	store := fake.New()
 	id := prepare(t, store, "one")
-	store.LoseAnswers(1)
-	a, err := signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
+	lossy := &headStore{Store: store, before: func() { store.LoseAnswers(1) }}
+	a, err := signoff.Accept(t.Context(), lossy, request(id, 0, "ioana"))
 	is.NoErr(err)
 	h := head(t, store)
 	is.Equal(h.Acceptance.Operation, a.Operation)
@@ -115,8 +139,8 @@
 		is := is.New(t)
 		store := fake.New()
 		id := prepare(t, store, "one")
-		store.DeferWrites(1)
-		_, err := signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
+		late := &headStore{Store: store, before: func() { store.DeferWrites(1) }}
+		_, err := signoff.Accept(t.Context(), late, request(id, 0, "ioana"))
 		is.NoErr(err)
 		store.ReleaseWrites()
 		h := head(t, store)
@@ -125,21 +149,6 @@
 	})
 }
 
-// interloper lets another operator sign off while the first one's answer is lost.
-type interloper struct {
-	platform.Store
-	onLost func()
-}
-
-func (s *interloper) Put(ctx context.Context, key platform.Key, value json.RawMessage, revision platform.Revision) (platform.Revision, error) {
-	r, err := s.Store.Put(ctx, key, value, revision)
-	if errors.Is(err, platform.ErrUnknownOutcome) && s.onLost != nil {
-		s.onLost()
-		s.onLost = nil
-	}
-	return r, err
-}
-
 func TestSecondOperatorSignsWhileAnswerIsLost(t *testing.T) {
 	cases := map[string]struct {
 		fault   func(*fake.Store)
@@ -155,8 +164,7 @@
 			is := is.New(t)
 			store := fake.New()
 			one, two := prepare(t, store, "one"), prepare(t, store, "two")
-			c.fault(store)
-			racing := &interloper{Store: store, onLost: func() {
+			racing := &headStore{Store: store, before: func() { c.fault(store) }, after: func() {
 				_, err := signoff.Accept(t.Context(), store, request(two, c.expect, "mihai"))
 				is.NoErr(err)
 			}}
@@ -180,9 +188,12 @@
 		is := is.New(t)
 		store := fake.New()
 		id := prepare(t, store, "one")
-		store.LoseAnswers(1)
-		racing := &interloper{Store: store, onLost: func() { store.SetDown(true) }}
-		_, err := signoff.Accept(t.Context(), racing, request(id, 0, "ioana"))
+		failing := &headStore{
+			Store:  store,
+			before: func() { store.LoseAnswers(1) },
+			after:  func() { store.SetDown(true) },
+		}
+		_, err := signoff.Accept(t.Context(), failing, request(id, 0, "ioana"))
 		var unknown *signoff.UnknownError
 		is.True(errors.As(err, &unknown))
 		is.Equal(unknown.Operation, "op-ioana")
