--- a/pkg/ledger/failure_test.go
+++ b/pkg/ledger/failure_test.go
@@ -200,6 +200,29 @@
 	}
 }
 
+// A node whose upstream is gone soon gets no further orders, and still answers
+// re-sent ones.
+func TestUpstreamGone(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.close()
+		time.Sleep(settle)
+		key := c.ownedBy("a", "c")
+		is.True(c.send("a", key).ran)
+		c.members.update(func(all map[model.NodeID]membership.Member) {
+			m := all["c"]
+			m.Upstreams = nil
+			all["c"] = m
+		})
+		time.Sleep(settle)
+		for range 200 {
+			is.True(c.nodes["a"].ledger.Locate(desk, newKey()).Node != "c")
+		}
+		is.Equal(c.send("b", key).effect, reason.Run)
+		c.check()
+	})
+}
+
 // While the platform is down, orders go on in the shards with a long
 // look-ahead for an hour, and are refused as not run afterwards.
 func TestPlatformDownPastLookahead(t *testing.T) {
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -59,7 +59,7 @@
 // cut ends this owner's newest ranges of the given shards, or of all shards if
 // none are given, and gives the keys born later to other takers.
 func (s *Service) cut(ctx context.Context, svc *service, shards map[int]bool) error {
-	takers := s.successors(svc)
+	takers := s.successors(svc.name)
 	if len(takers) == 0 {
 		return fmt.Errorf("ledger: cut ranges of %q: %w", svc.name, errNoSuccessor)
 	}
@@ -86,11 +86,11 @@
 
 // successors returns the other owners that can take further shards, as the
 // steward told last.
-func (s *Service) successors(svc *service) []order.Owner {
+func (s *Service) successors(name string) []order.Owner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []order.Owner
-	for _, o := range svc.takers {
+	for _, o := range s.service(name).takers {
 		if o != s.self {
 			list = append(list, o)
 		}
@@ -143,7 +143,7 @@
 // successors in turn for shards that could not be cut.
 func (s *Service) group(ctx context.Context, svc *service, owned map[int]bool) (map[order.Owner]map[int]bool, error) {
 	s.consult(ctx, svc.name)
-	takers := s.successors(svc)
+	takers := s.successors(svc.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	groups := make(map[order.Owner]map[int]bool)
--- a/pkg/ledger/steward.go
+++ b/pkg/ledger/steward.go
@@ -69,13 +69,20 @@
 	}
 }
 
-// rebalance gives keys born from now on to owners with fewer shards.
+// rebalance gives keys born from now on to owners with fewer shards, and all of
+// them if this node runs no upstream of the service any more.
 func (s *Service) rebalance(ctx context.Context, name string) {
+	takes := s.takes(name)
+	others := s.successors(name)
 	s.mu.Lock()
 	svc := s.service(name)
 	excess := svc.table.Excess(s.self, svc.takers)
+	owned := svc.table.Load()[s.self]
 	s.mu.Unlock()
-	if len(excess) == 0 {
+	if !takes {
+		excess = nil // Cut takes this for all shards.
+	}
+	if owned == 0 || len(others) == 0 || takes && len(excess) == 0 {
 		return
 	}
 	if err := s.cut(ctx, svc, excess); err != nil {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -48,10 +48,14 @@
 	Crashes int `cbor:"2,keyasint" json:"crashes"`
 	// AtUnix is the time of the last crash in seconds since 1970.
 	AtUnix int64 `cbor:"3,keyasint" json:"atUnix"`
-	// Alone tells that no other call was running at one of the crashes.
+	// Alone tells that no other suspect was running at one of the crashes.
 	Alone bool `cbor:"4,keyasint,omitempty" json:"alone,omitempty"`
 	// Lifted is set by an operator who clears the quarantine.
 	Lifted bool `cbor:"5,keyasint,omitempty" json:"lifted,omitempty"`
+	// Among is the smallest number of suspects that ran at one of the crashes.
+	Among int `cbor:"6,keyasint,omitempty" json:"among,omitempty"`
+	// Good is the number of calls that ended well on this node since a crash.
+	Good int `cbor:"7,keyasint,omitempty" json:"good,omitempty"`
 }
 
 // Member is a record with this node's belief about it.
