Prepare, sign off, follow and compare bundles from the command line

Cause: an operator needs the whole path as commands, and settings that are checked whole before a node starts.

Change: bundle check, prepare, sign-off, roll, status, history, diff, show and withdraw; key generate; settings check and reference; platform, the stand-in. Defaults and explanations of settings and bundle files stand in the tags of their structs, so that decoder, reference and pages cannot disagree.

Conclusion: run by hand against the stand-in: a second sign-off on the same expected version exits 3 and names winner and time; one whose answers were lost is accepted once.

--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -38,30 +38,22 @@
 
 // Service describes a service that routes may point at.
 type Service struct {
-	// Name is unique in the bundle.
-	Name string `json:"name" cbor:"1,keyasint"`
-	// Timeout bounds a call that brings no deadline of its own.
-	Timeout Duration `json:"timeout" cbor:"2,keyasint"`
-	// RetryBudgetPercent is the share of calls that may be retries.
-	RetryBudgetPercent int `json:"retryBudgetPercent" cbor:"3,keyasint"`
-	// MaxBodyBytes bounds the body of one request; zero means no bound.
-	MaxBodyBytes int64 `json:"maxBodyBytes" cbor:"4,keyasint"`
-	// Queue bounds the calls that wait for a slot on one upstream, per class.
-	Queue QueueLimits `json:"queue" cbor:"5,keyasint"`
-	// Probe is the health probe of the service's upstreams.
-	Probe Probe `json:"probe" cbor:"6,keyasint"`
-	// Warmup is the length of the cold-start ramp of a new upstream.
-	Warmup Duration `json:"warmup" cbor:"7,keyasint"`
-	// MaxEjectedPercent is the largest share of upstreams ejected at a time.
-	MaxEjectedPercent int `json:"maxEjectedPercent" cbor:"8,keyasint"`
+	Name               string      `json:"name" cbor:"1,keyasint" help:"unique name: lower-case letters, digits and inner hyphens; required"`
+	Timeout            Duration    `json:"timeout" cbor:"2,keyasint" default:"5s" help:"longest time for a call that brings no deadline of its own, 1ms to 10m"`
+	RetryBudgetPercent int         `json:"retryBudgetPercent" cbor:"3,keyasint" default:"10" help:"largest share of calls that may be retries, in percent"`
+	MaxBodyBytes       int64       `json:"maxBodyBytes" cbor:"4,keyasint" default:"1048576" help:"largest request body in bytes; 0 means no bound of the service's own"`
+	Queue              QueueLimits `json:"queue" cbor:"5,keyasint"`
+	Probe              Probe       `json:"probe" cbor:"6,keyasint"`
+	Warmup             Duration    `json:"warmup" cbor:"7,keyasint" default:"10s" help:"length of the cold-start ramp of a new upstream, up to 1h"`
+	MaxEjectedPercent  int         `json:"maxEjectedPercent" cbor:"8,keyasint" default:"30" help:"largest share of upstreams that are ejected at a time, in percent"`
 }
 
 // QueueLimits is the number of waiting calls per upstream and class.
 type QueueLimits struct {
-	Interactive int `json:"interactive" cbor:"1,keyasint"`
-	Order       int `json:"order" cbor:"2,keyasint"`
-	Batch       int `json:"batch" cbor:"3,keyasint"`
-	Internal    int `json:"internal" cbor:"4,keyasint"`
+	Interactive int `json:"interactive" cbor:"1,keyasint" default:"32" help:"interactive calls that may wait for a slot of one upstream"`
+	Order       int `json:"order" cbor:"2,keyasint" default:"16" help:"orders that may wait for a slot of one upstream"`
+	Batch       int `json:"batch" cbor:"3,keyasint" default:"256" help:"batch calls that may wait for a slot of one upstream"`
+	Internal    int `json:"internal" cbor:"4,keyasint" default:"16" help:"internal calls that may wait for a slot of one upstream"`
 }
 
 // Of returns the limit of class c.
@@ -81,34 +73,22 @@
 
 // Probe describes an HTTP health probe.
 type Probe struct {
-	// Path is requested by GET; empty switches probing off.
-	Path string `json:"path" cbor:"1,keyasint"`
-	// Interval is the time between two probes of one upstream.
-	Interval Duration `json:"interval" cbor:"2,keyasint"`
-	// Timeout bounds one probe.
-	Timeout Duration `json:"timeout" cbor:"3,keyasint"`
+	Path     string   `json:"path" cbor:"1,keyasint" help:"path that is requested by GET; without it the upstreams are not probed"`
+	Interval Duration `json:"interval" cbor:"2,keyasint" default:"5s" help:"time between two probes of one upstream, 100ms to 10m"`
+	Timeout  Duration `json:"timeout" cbor:"3,keyasint" default:"1s" help:"longest time for one probe, at most the interval"`
 }
 
 // Route sends matching calls to a service.
 type Route struct {
-	// Name is unique in the bundle.
-	Name string `json:"name" cbor:"1,keyasint"`
-	// Host is matched exactly; empty matches every host.
-	Host string `json:"host" cbor:"2,keyasint"`
-	// PathPrefix is matched by whole path segments; the longest prefix wins.
-	PathPrefix string `json:"pathPrefix" cbor:"3,keyasint"`
-	// Methods limits the HTTP methods; empty matches all.
-	Methods []string `json:"methods" cbor:"4,keyasint"`
-	// Service is the name of the service that takes the calls.
-	Service string `json:"service" cbor:"5,keyasint"`
-	// Class is the traffic class of the calls.
-	Class model.Class `json:"class" cbor:"6,keyasint"`
-	// Timeout overrides the service's timeout when it is not zero.
-	Timeout Duration `json:"timeout" cbor:"7,keyasint"`
-	// Attempts is the largest number of tries of an idempotent call, at least 1.
-	Attempts int `json:"attempts" cbor:"8,keyasint"`
-	// Internal routes are matched on the outbound listener only.
-	Internal bool `json:"internal" cbor:"9,keyasint"`
+	Name       string      `json:"name" cbor:"1,keyasint" help:"unique name, like that of a service; required"`
+	Host       string      `json:"host" cbor:"2,keyasint" help:"host name that is matched exactly, without port; without it every host matches that has no route of its own"`
+	PathPrefix string      `json:"pathPrefix" cbor:"3,keyasint" default:"/" help:"prefix that is matched by whole path segments; the longest one wins"`
+	Methods    []string    `json:"methods,omitempty" cbor:"4,keyasint" help:"HTTP methods; without them the route takes those that no other route of the same host and prefix names"`
+	Service    string      `json:"service" cbor:"5,keyasint" help:"name of the service that takes the calls; required"`
+	Class      model.Class `json:"class" cbor:"6,keyasint" help:"traffic class: interactive, order (not idempotent), batch or internal; required"`
+	Timeout    Duration    `json:"timeout" cbor:"7,keyasint" help:"longest time for a call; without it the service's"`
+	Attempts   int         `json:"attempts" cbor:"8,keyasint" help:"largest number of tries of an idempotent call, 1 to 5; without it 1 for class order and 2 for others"`
+	Internal   bool        `json:"internal" cbor:"9,keyasint" default:"false" help:"whether the route is matched on the outbound listener only; required to be true for class internal"`
 }
 
 // Duration is a time.Duration that is written as text such as "250ms".
--- a/pkg/bundle/source/source.go
+++ b/pkg/bundle/source/source.go
@@ -12,11 +12,15 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/jsonc"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // Extension is the ending of the files that belong to a bundle.
 const Extension = ".jsonc"
 
+// defaultAttempts is for idempotent calls; others are tried once.
+const defaultAttempts = 2
+
 // file is the content of one file. Any file may hold services and routes.
 type file struct {
 	Services []bundle.Service `json:"services"`
@@ -95,18 +99,28 @@
 	}
 	for i, s := range f.Services {
 		p := place{positions: positions, key: fmt.Sprintf("services[%d]", i)}
-		applyServiceDefaults(&s, p)
 		l.define(l.services, "service", s.Name, p)
 		l.bundle.Services = append(l.bundle.Services, s)
 	}
 	for i, r := range f.Routes {
 		p := place{positions: positions, key: fmt.Sprintf("routes[%d]", i)}
-		applyRouteDefaults(&r, p)
+		setAttempts(&r, p)
 		l.define(l.routes, "route", r.Name, p)
 		l.bundle.Routes = append(l.bundle.Routes, r)
 	}
 }
 
+// setAttempts fills in the default that depends on the route's class.
+func setAttempts(r *bundle.Route, p place) {
+	switch {
+	case p.positions.Has(p.key + ".attempts"):
+	case r.Class == model.ClassOrder:
+		r.Attempts = 1
+	default:
+		r.Attempts = defaultAttempts
+	}
+}
+
 // define notes where an object stands and refuses a second one of its name.
 func (l *loader) define(places map[string]place, kind, name string, p place) {
 	first, ok := places[name]
@@ -155,3 +169,25 @@
 	}
 	return f
 }
+
+// Reference returns the reference of the files in Markdown.
+func Reference() string {
+	return referenceHeader + jsonc.Table(jsonc.Entries(file{}))
+}
+
+const referenceHeader = `# Bundle files
+
+A bundle is a folder of files that end in ` + "`.jsonc`" + `, in any number of
+subfolders: JSON with comments and trailing commas. Each file may hold services
+and routes. ` + "`tarragondrum bundle check DIR`" + ` checks a folder without the
+platform and reports every fault with file, line and key. Defaults are written
+into the bundle when it is prepared, so a later program with other defaults
+does not change its meaning.
+
+Two routes of the same host and path prefix must differ in their methods. A
+call is matched by its exact host first and by routes without a host second,
+then by the longest path prefix, then by method.
+
+Written by ` + "`go test ./pkg/bundle/source -update`" + `.
+
+`
--- /dev/null
+++ b/pkg/cli/bundle.go
@@ -0,0 +1,242 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/platform/rest"
+	"github.com/tarragondrum/tarragondrum/pkg/settings"
+	"github.com/tarragondrum/tarragondrum/pkg/signoff"
+)
+
+const (
+	// bundleTimeout bounds one bundle command.
+	bundleTimeout = time.Minute
+	// shortID is the number of characters of a bundle id shown to people.
+	shortID = 12
+	// minIDPrefix is the shortest part of an id that names a bundle.
+	minIDPrefix = 6
+)
+
+// bundleCmd is the group of commands about bundles.
+type bundleCmd struct {
+	Check    *bundleCheckCmd    `arg:"subcommand:check" help:"check a folder without the platform"`
+	Prepare  *bundlePrepareCmd  `arg:"subcommand:prepare" help:"check a folder, store it as a bundle and show what it changes"`
+	SignOff  *bundleSignOffCmd  `arg:"subcommand:sign-off" help:"put a prepared bundle in force"`
+	Roll     *bundleRollCmd     `arg:"subcommand:roll" help:"follow the bundle in force until every node has applied it"`
+	Status   *bundleStatusCmd   `arg:"subcommand:status" help:"show what is in force, what waits and how far the roll-out is"`
+	History  *bundleHistoryCmd  `arg:"subcommand:history" help:"list who accepted what and when"`
+	Diff     *bundleDiffCmd     `arg:"subcommand:diff" help:"show what differs between two bundles"`
+	Show     *bundleShowCmd     `arg:"subcommand:show" help:"print the content of a bundle"`
+	Withdraw *bundleWithdrawCmd `arg:"subcommand:withdraw" help:"take back a prepared bundle"`
+}
+
+// platformFlags say how to reach the platform.
+type platformFlags struct {
+	Platform  string `arg:"--platform,env:TARRAGONDRUM_PLATFORM" placeholder:"URL" help:"base URL of the platform's object API"`
+	Mesh      string `arg:"--mesh,env:TARRAGONDRUM_MESH" placeholder:"NAME" help:"namespace of the mesh"`
+	TokenFile string `arg:"--platform-token-file,env:TARRAGONDRUM_PLATFORM_TOKEN_FILE" placeholder:"FILE" help:"file with the platform's bearer token"`
+	Settings  string `arg:"--settings,env:TARRAGONDRUM_SETTINGS" placeholder:"FILE" help:"settings file of a node, for the platform and the operators' keys"`
+}
+
+// session is what a bundle command works with.
+type session struct {
+	store platform.Store
+	// keyring holds the operators' keys; nil without a settings file.
+	keyring *bundle.Keyring
+}
+
+// usageError is wrong input; nothing was changed.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
+
+func usagef(format string, args ...any) error {
+	return &usageError{err: fmt.Errorf(format, args...)}
+}
+
+// faultsError is a file or folder that breaks rules.
+type faultsError struct{ faults []bundle.Fault }
+
+func (e *faultsError) Error() string {
+	lines := make([]string, 0, len(e.faults)+1)
+	for _, f := range e.faults {
+		lines = append(lines, formatFault(f))
+	}
+	return strings.Join(append(lines, countFaults(len(e.faults))), "\n")
+}
+
+func countFaults(n int) string {
+	if n == 1 {
+		return "1 fault"
+	}
+	return fmt.Sprintf("%d faults", n)
+}
+
+func formatFault(f bundle.Fault) string {
+	text := f.File
+	if f.Line > 0 {
+		text += fmt.Sprintf(":%d", f.Line)
+	}
+	if f.Key != "" {
+		text += ": " + f.Key
+	}
+	return text + ": " + f.Message
+}
+
+// open reads the settings, if any, and returns a client of the platform.
+func (f platformFlags) open() (*session, error) {
+	config := rest.Config{URL: f.Platform, Mesh: f.Mesh, TokenFile: f.TokenFile}
+	s := &session{}
+	if f.Settings != "" {
+		file, faults := settings.LoadPlatform(f.Settings)
+		if len(faults) > 0 {
+			return nil, &faultsError{faults: faults}
+		}
+		config = fromSettings(config, file.Platform)
+		keyring, err := file.Keyring()
+		if err != nil {
+			return nil, &usageError{err: err}
+		}
+		s.keyring = keyring
+	}
+	if config.URL == "" || config.Mesh == "" {
+		return nil, usagef("say how to reach the platform: --platform URL and --mesh NAME, or --settings FILE")
+	}
+	client, err := rest.New(config)
+	if err != nil {
+		return nil, &usageError{err: err}
+	}
+	s.store = client
+	return s, nil
+}
+
+// fromSettings fills in what the command line left open.
+func fromSettings(c rest.Config, p settings.Platform) rest.Config {
+	if c.URL == "" {
+		c.URL = p.URL
+	}
+	if c.Mesh == "" {
+		c.Mesh = p.Mesh
+	}
+	if c.TokenFile == "" {
+		c.TokenFile = p.TokenFile
+	}
+	c.Timeout = p.Timeout.Std()
+	return c
+}
+
+// with opens the platform, does the work within the timeout and turns an error
+// into an exit code.
+func (f platformFlags) with(ctx context.Context, env Env, timeout time.Duration, work func(context.Context, *session) error) int {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	s, err := f.open()
+	if err == nil {
+		err = work(ctx, s)
+	}
+	return env.exit(err)
+}
+
+// exit reports an error and returns its exit code.
+func (e Env) exit(err error) int {
+	var (
+		usage    *usageError
+		faults   *faultsError
+		conflict *signoff.ConflictError
+		unknown  *signoff.UnknownError
+		behind   *behindError
+		open     *openError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults):
+		_, _ = fmt.Fprintln(e.Stderr, err)
+		return ExitUsage
+	case errors.As(err, &usage):
+		return e.fail(ExitUsage, err)
+	case errors.As(err, &conflict):
+		return e.fail(ExitConflict, err)
+	case errors.As(err, &unknown), errors.As(err, &open):
+		return e.fail(ExitUnknown, err)
+	case errors.As(err, &behind):
+		return e.fail(ExitBehind, err)
+	}
+	return e.fail(ExitFailed, err)
+}
+
+// resolve turns what an operator calls a bundle into its id: "in-force", a
+// version number such as 12 or v12, or the first characters of an id.
+func (s *session) resolve(ctx context.Context, name string) (bundle.ID, error) {
+	if name == "in-force" {
+		head, _, err := bundlestore.ReadHead(ctx, s.store)
+		if err == nil && head.Acceptance.Version == 0 {
+			err = errors.New("no bundle has been accepted yet")
+		}
+		return head.Acceptance.Bundle, err
+	}
+	if v, ok := parseVersion(name); ok {
+		a, err := bundlestore.AcceptanceOf(ctx, s.store, v)
+		return a.Bundle, err
+	}
+	if len(name) == len(hexHash) {
+		return bundle.ID(name), nil
+	}
+	return s.byPrefix(ctx, name)
+}
+
+// hexHash has the length of a bundle id.
+const hexHash = "0000000000000000000000000000000000000000000000000000000000000000"
+
+// parseVersion reads "12" or "v12". Longer numbers are parts of an id.
+func parseVersion(name string) (model.Version, bool) {
+	digits := strings.TrimPrefix(name, "v")
+	if len(digits) >= minIDPrefix && digits == name {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return model.Version(n), err == nil && n > 0
+}
+
+func (s *session) byPrefix(ctx context.Context, prefix string) (bundle.ID, error) {
+	if len(prefix) < minIDPrefix {
+		return "", usagef("bundle %q: give \"in-force\", a version, or at least %d characters of an id", prefix, minIDPrefix)
+	}
+	entries, _, err := bundlestore.List(ctx, s.store)
+	if entries == nil && err != nil {
+		return "", err
+	}
+	var found []bundle.ID
+	for _, e := range entries {
+		if strings.HasPrefix(string(e.Bundle), prefix) {
+			found = append(found, e.Bundle)
+		}
+	}
+	switch len(found) {
+	case 0:
+		return "", fmt.Errorf("no bundle is prepared whose id begins with %q", prefix)
+	case 1:
+		return found[0], nil
+	}
+	return "", usagef("%d bundles have an id that begins with %q; give more of it", len(found), prefix)
+}
+
+// load returns a bundle by the name that an operator gives it.
+func (s *session) load(ctx context.Context, name string) (bundle.ID, bundle.Bundle, error) {
+	id, err := s.resolve(ctx, name)
+	if err != nil {
+		return "", bundle.Bundle{}, err
+	}
+	b, err := bundlestore.Load(ctx, s.store, id)
+	return id, b, err
+}
--- /dev/null
+++ b/pkg/cli/bundlesignoff.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/signoff"
+)
+
+type bundleSignOffCmd struct {
+	platformFlags
+	Bundle        string         `arg:"positional,required" help:"id of the bundle, or its first characters"`
+	ExpectVersion *model.Version `arg:"--expect-version,required" placeholder:"N" help:"version that you saw in force; 0 before the first one"`
+	Key           string         `arg:"--key,required" placeholder:"FILE" help:"your private key"`
+	As            string         `arg:"--as,required,env:TARRAGONDRUM_OPERATOR" placeholder:"NAME" help:"your name, as the key's entry in the settings has it"`
+	Reason        string         `arg:"--reason" help:"why, shown in the history"`
+	JSON          bool           `arg:"--json" help:"print JSON"`
+}
+
+func (*bundleSignOffCmd) example() string {
+	return `tarragondrum bundle sign-off 3f2a9c01d4e7 --expect-version 11 --key mihai.key --as mihai --settings node.jsonc`
+}
+
+func (c *bundleSignOffCmd) run(ctx context.Context, env Env) int {
+	key, err := readKey(c.Key)
+	if err != nil {
+		return env.exit(&usageError{err: err})
+	}
+	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
+		a, err := c.signOff(ctx, s, key)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return env.printJSON(a)
+		}
+		env.printf("version %d is in force: bundle %.*s, accepted by %s at %s\n", a.Version, shortID, a.Bundle, a.Acceptor, a.Time.Format(time.RFC3339))
+		env.printf("to follow it to every node:\n  tarragondrum bundle roll\n")
+		return nil
+	})
+}
+
+func (c *bundleSignOffCmd) signOff(ctx context.Context, s *session, key privateKey) (bundle.Acceptance, error) {
+	if key.Name != c.As {
+		return bundle.Acceptance{}, usagef("key %q belongs to %q, not to %q", key.KeyID, key.Name, c.As)
+	}
+	id, err := s.resolve(ctx, c.Bundle)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	a, err := signoff.Accept(ctx, s.store, signoff.Request{
+		Bundle:    id,
+		Expect:    *c.ExpectVersion,
+		Acceptor:  c.As,
+		KeyID:     key.KeyID,
+		Key:       key.private(),
+		Reason:    c.Reason,
+		Operation: uuid.NewString(),
+		Time:      time.Now(),
+		Keyring:   s.keyring,
+	})
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	archive(ctx, s)
+	return a, nil
+}
+
+// archive copies the head to the history. A failure is made up for by the next
+// sign-off.
+func archive(ctx context.Context, s *session) {
+	head, _, err := bundlestore.ReadHead(ctx, s.store)
+	if err != nil {
+		return
+	}
+	_ = bundlestore.Archive(ctx, s.store, head)
+}
+
+type bundleWithdrawCmd struct {
+	platformFlags
+	Bundle string `arg:"positional,required" help:"id of the bundle, or its first characters"`
+}
+
+func (*bundleWithdrawCmd) example() string {
+	return "tarragondrum bundle withdraw 3f2a9c01d4e7 --settings node.jsonc"
+}
+
+func (c *bundleWithdrawCmd) run(ctx context.Context, env Env) int {
+	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
+		id, err := s.resolve(ctx, c.Bundle)
+		if err != nil {
+			return err
+		}
+		if err := bundlestore.Withdraw(ctx, s.store, id); err != nil {
+			return err
+		}
+		env.printf("bundle %.*s is withdrawn; prepare it again to use it\n", shortID, id)
+		return nil
+	})
+}
+
+// openError is an operation of which the outcome is still open.
+type openError struct {
+	operation string
+	version   model.Version
+}
+
+func (e *openError) Error() string {
+	return fmt.Sprintf("operation %s has not been accepted so far: version %d is in force, and the update may still be under way", e.operation, e.version)
+}
--- /dev/null
+++ b/pkg/cli/bundlestatus.go
@@ -0,0 +1,195 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/rollout"
+	"github.com/tarragondrum/tarragondrum/pkg/signoff"
+)
+
+// operationSearch is the number of versions in which an operation is looked for.
+const operationSearch = 1024
+
+type bundleStatusCmd struct {
+	platformFlags
+	Operation     string         `arg:"--operation" placeholder:"ID" help:"tell whether this sign-off was accepted"`
+	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that the operation expected, to tell a lost one from one under way"`
+	JSON          bool           `arg:"--json" help:"print JSON"`
+}
+
+func (*bundleStatusCmd) example() string {
+	return "tarragondrum bundle status --settings node.jsonc"
+}
+
+// statusReport is the JSON form of the status.
+type statusReport struct {
+	Acceptance bundle.Acceptance `json:"acceptance"`
+	// Signature is "good", "bad" with the reason, or "not checked".
+	Signature string              `json:"signature"`
+	Waiting   []bundlestore.Entry `json:"waiting"`
+	Progress  []rollout.Progress  `json:"progress"`
+}
+
+func (c *bundleStatusCmd) run(ctx context.Context, env Env) int {
+	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
+		if c.Operation != "" {
+			return c.reportOperation(ctx, env, s)
+		}
+		report, err := s.status(ctx)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return env.printJSON(report)
+		}
+		return env.printStatus(report, time.Now())
+	})
+}
+
+func (s *session) status(ctx context.Context) (statusReport, error) {
+	entries, head, err := bundlestore.List(ctx, s.store)
+	if entries == nil && err != nil {
+		return statusReport{}, err
+	}
+	progress, err := readProgress(ctx, s.store)
+	if err != nil {
+		return statusReport{}, err
+	}
+	return statusReport{
+		Acceptance: head.Acceptance,
+		Signature:  s.verify(&head.Acceptance),
+		Waiting:    append([]bundlestore.Entry{}, bundlestore.Waiting(entries)...),
+		Progress:   progress,
+	}, nil
+}
+
+// verify says whether an operator's key signed the acceptance.
+func (s *session) verify(a *bundle.Acceptance) string {
+	if a.Version == 0 || s.keyring == nil {
+		return "not checked"
+	}
+	if err := s.keyring.Verify(a); err != nil {
+		return "bad: " + err.Error()
+	}
+	return "good"
+}
+
+// readProgress returns the roll-out of every data centre, sorted by name.
+func readProgress(ctx context.Context, store platform.Store) ([]rollout.Progress, error) {
+	objects, _, err := store.List(ctx, platform.CollectionStatuses)
+	if err != nil {
+		return nil, err
+	}
+	progress := make([]rollout.Progress, 0, len(objects))
+	for _, o := range objects {
+		var p rollout.Progress
+		if err := json.Unmarshal(o.Value, &p); err != nil {
+			return nil, fmt.Errorf("roll-out of data centre %q: %w", o.Key.Name, err)
+		}
+		progress = append(progress, p)
+	}
+	slices.SortFunc(progress, func(a, b rollout.Progress) int {
+		return strings.Compare(string(a.DataCentre), string(b.DataCentre))
+	})
+	return progress, nil
+}
+
+func (e Env) printStatus(r statusReport, now time.Time) error {
+	a := r.Acceptance
+	if a.Version == 0 {
+		e.printf("no bundle has been accepted yet\n")
+	} else {
+		e.printf("version %d is in force: bundle %.*s\n", a.Version, shortID, a.Bundle)
+		e.printf("  accepted by %s at %s, prepared by %s, signature %s\n", a.Acceptor, a.Time.Format(time.RFC3339), a.Preparer, r.Signature)
+		e.printf("  reason: %s\n", orNone(a.Reason))
+	}
+	for _, w := range r.Waiting {
+		e.printf("waiting: bundle %.*s, prepared by %s at %s against version %d, %s\n  reason: %s\n",
+			shortID, w.Bundle, w.Meta.Preparer, w.Meta.Time.Format(time.RFC3339), w.Meta.ParentVersion, w.State, orNone(w.Meta.Reason))
+	}
+	for _, p := range r.Progress {
+		e.printf("%s\n", formatProgress(p, now))
+	}
+	return nil
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none given"
+	}
+	return text
+}
+
+func formatProgress(p rollout.Progress, now time.Time) string {
+	return fmt.Sprintf("data centre %s: %d of %d nodes on version %d, reported %s ago",
+		p.DataCentre, p.Applied, p.Members, p.Version, now.Sub(p.Time).Truncate(time.Second))
+}
+
+// reportOperation tells the truth about one sign-off.
+func (c *bundleStatusCmd) reportOperation(ctx context.Context, env Env, s *session) error {
+	list, err := bundlestore.History(ctx, s.store, operationSearch)
+	if err != nil {
+		return err
+	}
+	for _, a := range list {
+		if a.Operation == c.Operation {
+			env.printf("operation %s was accepted as version %d\n", c.Operation, a.Version)
+			return nil
+		}
+	}
+	var newest bundle.Acceptance
+	if len(list) > 0 {
+		newest = list[0]
+	}
+	if c.ExpectVersion == nil || newest.Version == *c.ExpectVersion {
+		return &openError{operation: c.Operation, version: newest.Version}
+	}
+	winner := newest
+	for _, a := range list {
+		if a.Version == *c.ExpectVersion+1 {
+			winner = a
+		}
+	}
+	return &signoff.ConflictError{Expected: *c.ExpectVersion, Winner: winner}
+}
+
+type bundleHistoryCmd struct {
+	platformFlags
+	Limit int  `arg:"--limit" default:"20" help:"largest number of versions"`
+	JSON  bool `arg:"--json" help:"print JSON"`
+}
+
+func (*bundleHistoryCmd) example() string {
+	return "tarragondrum bundle history --limit 5 --settings node.jsonc"
+}
+
+func (c *bundleHistoryCmd) run(ctx context.Context, env Env) int {
+	if c.Limit < 1 {
+		return env.exit(usagef("--limit must be at least 1"))
+	}
+	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
+		list, err := bundlestore.History(ctx, s.store, c.Limit)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return env.printJSON(append([]bundle.Acceptance{}, list...))
+		}
+		t := tabwriter.NewWriter(env.Stdout, 0, 4, 2, ' ', 0)
+		_, _ = fmt.Fprintln(t, "VERSION\tBUNDLE\tACCEPTED\tBY\tPREPARED BY\tREASON")
+		for _, a := range list {
+			_, _ = fmt.Fprintf(t, "%d\t%.*s\t%s\t%s\t%s\t%s\n", a.Version, shortID, a.Bundle, a.Time.Format(time.RFC3339), a.Acceptor, a.Preparer, orNone(a.Reason))
+		}
+		return t.Flush()
+	})
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -63,6 +63,10 @@
 
 // rootArgs is the whole command line.
 type rootArgs struct {
+	Bundle     *bundleCmd     `arg:"subcommand:bundle" help:"prepare, sign off, roll and compare bundles"`
+	Key        *keyCmd        `arg:"subcommand:key" help:"make operators' keys"`
+	Platform   *platformCmd   `arg:"subcommand:platform" help:"run a stand-in for the platform, for trying out"`
+	Settings   *settingsCmd   `arg:"subcommand:settings" help:"check and explain settings files"`
 	Handover   *handoverCmd   `arg:"subcommand:handover" help:"show what is in force, who accepted it and how far it is"`
 	Upstream   *upstreamCmd   `arg:"subcommand:upstream" help:"list and drain the upstreams of a host"`
 	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"list and lift calls that crashed upstreams"`
--- a/pkg/jsonc/decode.go
+++ b/pkg/jsonc/decode.go
@@ -26,6 +26,7 @@
 		d.fault("", "expected an object, found %s", kindName(root.Value.Kind()))
 		return
 	}
+	applyDefaults(target)
 	d.decode("", root, target)
 }
 
@@ -102,6 +103,7 @@
 	for i, element := range array.Elements {
 		path := fmt.Sprintf("%s[%d]", key, i)
 		d.positions.lines[path] = d.line(element.StartOffset)
+		applyDefaults(list.Index(i))
 		d.decode(path, element, list.Index(i))
 	}
 	target.Set(list)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -6,7 +6,8 @@
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
-// Settings is the settings file of a node. Durations are written as text.
+// Settings is the settings file of a node: JSON with comments. The tags of the
+// fields hold the defaults and the text of docs/SETTINGS.md.
 type Settings struct {
 	Node      Node       `json:"node"`
 	Platform  Platform   `json:"platform"`
@@ -25,88 +26,72 @@
 
 // Node identifies the process.
 type Node struct {
-	ID         model.NodeID     `json:"id"`
-	DataCentre model.DataCentre `json:"dataCentre"`
-	Region     model.Region     `json:"region"`
+	ID         model.NodeID     `json:"id" help:"name of the node, unique in the mesh: lower-case letters, digits and inner hyphens; required"`
+	DataCentre model.DataCentre `json:"dataCentre" help:"name of the data centre that the host is in; required"`
+	Region     model.Region     `json:"region" help:"name of the region that the data centre is in; required"`
 }
 
 // Platform says how to reach the object API.
 type Platform struct {
-	// URL is the base URL, for example "http://127.0.0.1:7000".
-	URL string `json:"url"`
-	// Mesh is the namespace of the mesh's objects.
-	Mesh string `json:"mesh"`
-	// TokenFile holds a bearer token; empty means none.
-	TokenFile string          `json:"tokenFile"`
-	Timeout   bundle.Duration `json:"timeout"`
+	URL       string          `json:"url" help:"base URL of the platform's object API, http or https; required"`
+	Mesh      string          `json:"mesh" help:"namespace of the mesh's objects; required"`
+	TokenFile string          `json:"tokenFile" help:"file with a bearer token, sent over https or on loopback only; without it none is sent"`
+	Timeout   bundle.Duration `json:"timeout" default:"5s" help:"longest time for one call, 100ms to 1m"`
 }
 
 // Mesh is the listener for other nodes.
 type Mesh struct {
-	Address string `json:"address"`
-	// CertFile, KeyFile and CAFile are PEM files, re-read when they change. All
-	// empty means plain text, which is only accepted on loopback addresses.
-	CertFile string `json:"certFile"`
-	KeyFile  string `json:"keyFile"`
-	CAFile   string `json:"caFile"`
-	// SecretFile holds the shared secret that authenticates datagrams and the
-	// headers between nodes.
-	SecretFile string `json:"secretFile"`
-	// Contacts are mesh addresses to try when the platform cannot be reached.
-	Contacts []string `json:"contacts"`
-	// ProbeInterval is the time between two probes sent by this node.
-	ProbeInterval bundle.Duration `json:"probeInterval"`
+	Address       string          `json:"address" help:"IP and port for other nodes, TCP and UDP; required"`
+	CertFile      string          `json:"certFile" help:"PEM certificate of this node, read again when it changes; required off loopback, with keyFile and caFile"`
+	KeyFile       string          `json:"keyFile" help:"PEM private key of the certificate"`
+	CAFile        string          `json:"caFile" help:"PEM certificates of the authorities that sign the nodes' certificates"`
+	SecretFile    string          `json:"secretFile" help:"file with the secret that authenticates datagrams and the headers between nodes; required off loopback"`
+	Contacts      []string        `json:"contacts" help:"IP and port of the mesh listeners of other nodes, tried when the platform cannot be reached"`
+	ProbeInterval bundle.Duration `json:"probeInterval" default:"1s" help:"time between two probes sent by this node, 10ms to 1m"`
 }
 
 // Inbound is the listener for callers and for other nodes on their behalf.
 type Inbound struct {
-	Address string `json:"address"`
-	// MaxBodyBytes bounds one request body; zero means no bound.
-	MaxBodyBytes int64 `json:"maxBodyBytes"`
-	// HeaderTimeout bounds the time a sender may take for its headers.
-	HeaderTimeout bundle.Duration `json:"headerTimeout"`
+	Address       string          `json:"address" help:"IP and port for callers and other nodes; required"`
+	MaxBodyBytes  int64           `json:"maxBodyBytes" default:"1048576" help:"largest request body in bytes; 0 means no bound of the listener's own"`
+	HeaderTimeout bundle.Duration `json:"headerTimeout" default:"10s" help:"longest time a sender may take for its headers, 100ms to 1m"`
 }
 
 // Outbound is the loopback listener for the upstreams on this host.
 type Outbound struct {
-	Address string `json:"address"`
+	Address string `json:"address" default:"127.0.0.1:15001" help:"loopback IP and port for calls of this host's upstreams to other services"`
 }
 
 // Admin is the listener for operators, Prometheus and announcements.
 type Admin struct {
-	Address string `json:"address"`
-	// TokenFile is required when the address is not loopback.
-	TokenFile string `json:"tokenFile"`
+	Address   string `json:"address" default:"127.0.0.1:9090" help:"IP and port for operators, Prometheus and the announcements of upstreams"`
+	TokenFile string `json:"tokenFile" help:"file with the bearer token that callers must show; required off loopback"`
 }
 
 // Operator is a public key that may sign off bundles.
 type Operator struct {
-	Name string `json:"name"`
-	// KeyID names the key, PublicKey is its ed25519 key in base64.
-	KeyID     string `json:"keyID"`
-	PublicKey string `json:"publicKey"`
-	// Withdrawn keys are refused; versions already applied stay in force.
-	Withdrawn bool `json:"withdrawn"`
+	Name      string `json:"name" help:"name of the operator; several keys of one operator may be valid at once; required"`
+	KeyID     string `json:"keyID" help:"name of the key, unique in the file; required"`
+	PublicKey string `json:"publicKey" help:"ed25519 public key in base64, as key generate prints it; required"`
+	Withdrawn bool   `json:"withdrawn" default:"false" help:"whether the key is refused from now on; versions already applied stay in force"`
 }
 
 // Log says what is logged.
 type Log struct {
-	Level string `json:"level"`
+	Level string `json:"level" default:"info" help:"least severity that is logged: debug, info, warn or error"`
 }
 
 // Upstream is an instance announced from the settings.
 type Upstream struct {
-	Name        string `json:"name"`
-	Service     string `json:"service"`
-	Address     string `json:"address"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
+	Name        string `json:"name" help:"name of the upstream, unique on the host; required"`
+	Service     string `json:"service" help:"name of the service that it serves; required"`
+	Address     string `json:"address" help:"IP and port at which this host reaches it; required"`
+	Slots       int    `json:"slots" help:"calls that it runs at the same time, 1 to 10000; required"`
+	Connections int    `json:"connections" help:"connections that it accepts, at least as many as slots; required"`
 }
 
 // Drain bounds planned stops.
 type Drain struct {
-	// Timeout is the longest wait for calls in flight.
-	Timeout bundle.Duration `json:"timeout"`
-	// Notice is the time between telling the peers and refusing new calls.
-	Notice bundle.Duration `json:"notice"`
+	Timeout bundle.Duration `json:"timeout" default:"30s" help:"longest wait for calls in flight at a planned stop, up to 1h"`
+	Notice  bundle.Duration `json:"notice" default:"2s" help:"time between telling the peers and refusing new calls, at most the timeout"`
 }
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -70,8 +70,8 @@
 
 // Error tells the operator how to find out.
 func (e *UnknownError) Error() string {
-	return fmt.Sprintf("the platform did not say whether version %d was accepted; run \"tarragondrum bundle status --operation %s\" before signing off again: %v",
-		e.Version, e.Operation, e.Cause)
+	return fmt.Sprintf("the platform did not say whether version %d was accepted; run \"tarragondrum bundle status --operation %s --expect-version %d\" before signing off again: %v",
+		e.Version, e.Operation, e.Version-1, e.Cause)
 }
 
 // Unwrap returns the cause.
