--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -34,8 +34,11 @@
 	shedFactor  = 0.8
 	slowFactor  = 0.9
 	// baselineRise is the share by which a usual service time follows a slower
-	// window; it follows a faster one at once.
+	// window in which slots were free; it follows a faster one at once.
 	baselineRise = 0.02
+	// slowFloor is the divisor of the slots under which slow answers alone do not
+	// push the limit.
+	slowFloor = 4
 	// probeFactor is the step above the limit that is tried while calls wait, and
 	// probeGain the gain in throughput for which the step is kept.
 	probeFactor = 1.25
@@ -114,8 +117,8 @@
 // weigh sets the limit at the end of a window.
 func (l *Limit) weigh(now time.Time) {
 	w := &l.window
-	slowdown := l.slowdown()
 	busy := w.saturated*2 > w.calls
+	slowdown := l.slowdown(busy)
 	rate := 0.0
 	if d := now.Sub(w.start).Seconds(); d > 0 {
 		rate = float64(w.calls-1) / d
@@ -127,7 +130,8 @@
 		l.rest = l.nextRest
 	case slowdown > maxSlowdown && busy:
 		l.probing = false
-		l.current = max(1, min(l.current-1, int(slowFactor*float64(l.current))))
+		lower := min(l.current-1, int(slowFactor*float64(l.current)))
+		l.current = min(l.current, max(1, l.slots/slowFloor, lower))
 		l.rest = l.nextRest
 	case l.probing:
 		l.judge(rate)
@@ -162,8 +166,9 @@
 }
 
 // slowdown returns the window's service time over its usual value, each class
-// against its own, and moves the usual values.
-func (l *Limit) slowdown() float64 {
+// against its own, and moves the usual values. While the slots are busy, slow
+// answers say nothing about the usual value.
+func (l *Limit) slowdown(busy bool) float64 {
 	var seen, usual time.Duration
 	for c := range l.baseline {
 		n := l.window.ok[c]
@@ -177,7 +182,10 @@
 		}
 		seen += l.window.took[c]
 		usual += base * time.Duration(n)
-		l.baseline[c] = base + time.Duration(baselineRise*float64(mean-base))
+		if !busy {
+			base += time.Duration(baselineRise * float64(mean-base))
+		}
+		l.baseline[c] = base
 	}
 	if usual == 0 {
 		return 1
--- a/pkg/proxy/client/conn.go
+++ b/pkg/proxy/client/conn.go
@@ -25,12 +25,13 @@
 	// received tells whether any byte of the current reply has been read.
 	received bool
 	reused   bool
+	readErr  error
 	idleAt   time.Time
 }
 
 func newConn(c net.Conn) *conn {
 	cc := &conn{Conn: c}
-	cc.br = bufio.NewReaderSize(cc.Conn, readBufferBytes)
+	cc.br = bufio.NewReaderSize(cc, readBufferBytes)
 	cc.bw = bufio.NewWriterSize(cc, writeBufferBytes)
 	return cc
 }
@@ -73,6 +74,21 @@
 	return out, c.Skip(n)
 }
 
+// Read notes when the peer's bytes have come to an end.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
+// ended reports whether the connection ended, as opposed to timed out.
+func (c *conn) ended() bool {
+	var timeout net.Error
+	return c.readErr != nil && (!errors.As(c.readErr, &timeout) || !timeout.Timeout())
+}
+
 // alive reports whether an idle connection can carry another request: the peer
 // has neither closed it nor sent anything unasked.
 func (c *conn) alive() bool {
--- a/pkg/proxy/client/exchange.go
+++ b/pkg/proxy/client/exchange.go
@@ -187,7 +187,7 @@
 		h.SetNoDefaultContentType(true)
 		if err := resp.ReadHeader(h, x.conn); err != nil {
 			kind := KindMalformed
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			if x.conn.ended() {
 				kind = KindBroken
 			}
 			return fail(ctx, x.conn, kind, fmt.Errorf("read reply header: %w", err))
--- a/pkg/proxy/forwarder.go
+++ b/pkg/proxy/forwarder.go
@@ -105,6 +105,7 @@
 // try sends the call to one endpoint.
 func (f *forwarder) try(c *call, e *entry, p *routing.Endpoint) (answer, func(error)) {
 	c.upstream = p.Upstream
+	start := time.Now()
 	var a answer
 	var done func(error)
 	if p.Node == f.self {
@@ -112,9 +113,10 @@
 	} else {
 		a, done = f.hop(c, p)
 	}
+	took := time.Since(start)
 	end := func(err error) {
 		done(err)
-		f.ended(c, e, p, &a, err)
+		f.ended(c, e, p, &a, took, err)
 	}
 	if a.reply == nil || a.reply.Stream == nil {
 		end(nil)
@@ -124,8 +126,8 @@
 }
 
 // ended takes in how a try ended.
-func (f *forwarder) ended(c *call, e *entry, p *routing.Endpoint, a *answer, err error) {
-	if !e.done(p, c, a.load, judge(c, a, err), time.Now()) {
+func (f *forwarder) ended(c *call, e *entry, p *routing.Endpoint, a *answer, took time.Duration, err error) {
+	if !e.done(p, c, a.load, judge(c, a, err), took, time.Now()) {
 		return
 	}
 	f.metrics.ejected.WithLabelValues(c.service).Inc()
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -214,3 +214,50 @@
 	}
 	_, _ = fmt.Fprintf(w, "%s %s depth=%s hop=%q body=%d", r.Method, r.URL.RequestURI(), r.Header.Get("Tarragondrum-Depth"), r.Header.Get("Tarragondrum-Hop"), len(body))
 }
+
+// hopRejected is the event of a hop header without a valid token.
+var hopRejected = event.HopRejected
+
+// hopTo returns the hop header that a node would send.
+func hopTo(upstream string) string {
+	h := proxy.Hop{Class: model.ClassInteractive, Service: "catalogue", Upstream: upstream}
+	return h.Encode(proxy.NewToken([]byte(testSecret)))
+}
+
+// endpoints returns the number of endpoints of "catalogue" that the node knows.
+func (n *node) endpoints() int { return proxy.Endpoints(n.inbound, "catalogue") }
+
+// pretend makes the peers believe that an upstream is in another state.
+func (n *node) pretend(t testing.TB, name string, state model.UpstreamState) {
+	t.Helper()
+	src, err := kernel.Lookup[membership.Source](n.kernel, "membership")
+	check(t, err)
+	list := n.upstreams.List()
+	for i := range list {
+		if list[i].Name == name {
+			list[i].State = state
+		}
+	}
+	src.SetUpstreams(list)
+}
+
+// counted sums a counter over the series that have the given label value.
+func (n *node) counted(t testing.TB, name, label string) float64 {
+	t.Helper()
+	families, err := n.registry.Gather()
+	check(t, err)
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() != metric.Namespace+"_"+name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetValue() == label {
+					sum += m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
--- a/pkg/proxy/table.go
+++ b/pkg/proxy/table.go
@@ -216,13 +216,16 @@
 
 // done takes in how a call ended at an endpoint and reports whether that
 // ejected it.
-func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, now time.Time) bool {
+func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, took time.Duration, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l, ok := parseLoad(load); ok {
 		p.State.Report(now, l.Running, l.Queued, l.Limit)
 	}
 	p.State.InFlight--
+	if v == verdictGood {
+		p.State.Took(took)
+	}
 	if v == verdictNone || !p.State.Outlier.Record(now, v == verdictGood) {
 		return false
 	}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -69,6 +69,20 @@
 	others     int // calls of other nodes at the time of the last answer
 	limit      int
 	reportedAt time.Time
+	mean       time.Duration // of good answers
+}
+
+// smoothing is the weight of the newest answer in the mean time.
+const smoothing = 0.1
+
+// Took takes in the time of a good answer. Failures must not be counted: an
+// endpoint that fails fast would look quick.
+func (s *State) Took(d time.Duration) {
+	if s.mean == 0 {
+		s.mean = d
+		return
+	}
+	s.mean += time.Duration(smoothing * float64(d-s.mean))
 }
 
 // reportLife is the time in which a reported load counts less and less.
@@ -127,6 +141,17 @@
 	return (e.State.load(now) + 1) / e.capacity(now, warmup)
 }
 
+// better reports whether a is the better choice than b: the lower load per
+// slot, weighed with the mean time of an answer where both are known.
+func better(a, b *Endpoint, r *Request) bool {
+	costA, costB := a.score(r.Now, r.Warmup), b.score(r.Now, r.Warmup)
+	if a.State.mean > 0 && b.State.mean > 0 {
+		costA *= float64(a.State.mean)
+		costB *= float64(b.State.mean)
+	}
+	return costA < costB
+}
+
 // Request is what a choice depends on.
 type Request struct {
 	Now    time.Time
@@ -222,7 +247,7 @@
 		j++
 	}
 	a, b := candidates[i], candidates[j]
-	if b.score(r.Now, r.Warmup) < a.score(r.Now, r.Warmup) {
+	if better(b, a, r) {
 		return b
 	}
 	return a
@@ -239,7 +264,7 @@
 	best := candidates[first]
 	for i := range candidates {
 		e := candidates[(first+i)%len(candidates)]
-		if e.score(r.Now, r.Warmup) < best.score(r.Now, r.Warmup) {
+		if better(e, best, r) {
 			best = e
 		}
 	}
--- a/pkg/upstream/instance.go
+++ b/pkg/upstream/instance.go
@@ -30,6 +30,8 @@
 	announced model.Upstream
 	machine   *stateless.StateMachine
 	state     model.UpstreamState
+	// crashed tells that a stopped upstream may return by itself.
+	crashed bool
 	// refuseFrom is the time from which a leaving upstream takes no new calls.
 	refuseFrom time.Time
 	queue      *admission.Queue
--- a/pkg/upstream/probe.go
+++ b/pkg/upstream/probe.go
@@ -76,7 +76,7 @@
 	i.mu.Lock()
 	changed := i.health.probed(ok)
 	down := i.health.down()
-	state := i.state
+	state, crashed := i.state, i.crashed
 	i.mu.Unlock()
 	if changed {
 		s.logProbe(i, ok)
@@ -84,7 +84,10 @@
 	switch {
 	case state == model.UpstreamRunning && (refused || down):
 		s.crash(i)
-	case state == model.UpstreamStopped && ok:
+	case state == model.UpstreamDrained && refused:
+		_ = s.fire(i, triggerStop)
+		s.publish()
+	case state == model.UpstreamStopped && crashed && ok:
 		s.returned(i)
 	}
 }
--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -156,7 +156,7 @@
 	if err := check(u); err != nil {
 		return err
 	}
-	i, err := s.upsert(u)
+	i, restarted, err := s.upsert(u)
 	if err != nil {
 		return err
 	}
@@ -166,7 +166,10 @@
 	case model.UpstreamStopped:
 		err = s.fire(i, triggerStop)
 	default:
-		err = s.comeBack(i)
+		// A drained upstream goes on renewing its announcement until it stops.
+		if restarted || i.snapshot().State != model.UpstreamDrained {
+			err = s.comeBack(i)
+		}
 	}
 	s.publish()
 	return err
@@ -192,28 +195,31 @@
 	return nil
 }
 
-// upsert stores an announcement. An instance at a new address replaces the old one.
-func (s *Service) upsert(u model.Upstream) (*Instance, error) {
+// upsert stores an announcement and reports whether it comes from a new start
+// of the upstream. An instance at a new address replaces the old one.
+func (s *Service) upsert(u model.Upstream) (i *Instance, restarted bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx == nil || s.ctx.Err() != nil {
-		return nil, fmt.Errorf("upstream %q: the node is not running: %w", u.Name, ErrInvalid)
+		return nil, false, fmt.Errorf("upstream %q: the node is not running: %w", u.Name, ErrInvalid)
 	}
+	since := u.Since
 	if u.Since.IsZero() {
 		u.Since = time.Now()
 	}
 	old, ok := s.instances[u.Name]
 	if ok && old.pool.Address() == u.Address && old.snapshot().Service == u.Service {
+		restarted = since.After(old.snapshot().Since)
 		old.renew(u)
-		return old, nil
+		return old, restarted, nil
 	}
-	i := newInstance(u, s.waiting)
+	i = newInstance(u, s.waiting)
 	i.machine = newMachine(func(from, to model.UpstreamState, why trigger) { s.changed(i, from, to, why) })
 	s.instances[u.Name] = i
 	s.log.Emit(event.UpstreamAnnounced, event.F("upstream", u.Name), event.F("service", u.Service), event.F("slots", u.Slots))
 	s.probing.Add(1)
 	go s.probe(s.ctx, i)
-	return i, nil
+	return i, true, nil
 }
 
 // renew takes over the bounds of a new announcement.
@@ -240,6 +246,7 @@
 // changed runs after a transition, with the instance locked.
 func (s *Service) changed(i *Instance, from, to model.UpstreamState, why trigger) {
 	i.state = to
+	i.crashed = why == triggerCrash
 	if to == model.UpstreamRunning {
 		i.announced.Since = time.Now()
 		i.health = health{}
