--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -39,6 +39,9 @@
 	// Suspects are fingerprints of calls that were running when an upstream of
 	// this node crashed. The list is bounded; package poison decides on it.
 	Suspects []Suspect `cbor:"10,keyasint,omitempty" json:"suspects,omitempty"`
+	// Unreachable lists the data centres that this node, as a lead of its own,
+	// cannot reach.
+	Unreachable []model.DataCentre `cbor:"11,keyasint,omitempty" json:"unreachable,omitempty"`
 }
 
 // Suspect is the fingerprint of a call that was running when an upstream crashed.
