--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -32,8 +32,8 @@
 // Bundle is a set of mesh configuration. It is immutable once prepared; its
 // services and routes are sorted by name.
 type Bundle struct {
-	Services []Service `json:"services" cbor:"1,keyasint"`
-	Routes   []Route   `json:"routes" cbor:"2,keyasint"`
+	Services []Service `json:"services,omitempty" cbor:"1,keyasint"`
+	Routes   []Route   `json:"routes,omitempty" cbor:"2,keyasint"`
 }
 
 // Service describes a service that routes may point at.
--- /dev/null
+++ b/pkg/bundle/bundle_test.go
@@ -0,0 +1,197 @@
+package bundle_test
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
+)
+
+func TestDiffThenApplyLeadsToTheTarget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		from, to := bundletest.Bundle().Draw(rt, "from"), bundletest.Bundle().Draw(rt, "to")
+		d, err := bundle.Diff(&from, &to)
+		is.NoErr(err)
+		data, err := d.Encode()
+		is.NoErr(err)
+		received, err := bundle.DecodeDelta(data)
+		is.NoErr(err)
+		before, err := from.ContentID()
+		is.NoErr(err)
+		got, err := received.Apply(&from)
+		is.NoErr(err)
+		is.Equal(got, to)
+		after, err := from.ContentID()
+		is.NoErr(err)
+		is.Equal(after, before) // the base is untouched
+		is.Equal(len(bundle.Changes(&from, &to)), len(d.PutServices)+len(d.PutRoutes)+len(d.DeleteServices)+len(d.DeleteRoutes))
+	})
+}
+
+func TestDeltaIsRefusedOnAnotherBaseOrTarget(t *testing.T) {
+	is := is.New(t)
+	one := bundle.Bundle{Services: []bundle.Service{{Name: "one"}}}
+	two := bundle.Bundle{Services: []bundle.Service{{Name: "two"}}}
+	d, err := bundle.Diff(&one, &two)
+	is.NoErr(err)
+	_, err = d.Apply(&two)
+	is.True(errors.Is(err, bundle.ErrBase))
+	d.PutServices[0].MaxBodyBytes = 1
+	_, err = d.Apply(&one)
+	is.True(errors.Is(err, bundle.ErrContent))
+}
+
+func TestEqualContentHasOneID(t *testing.T) {
+	is := is.New(t)
+	a := bundle.Bundle{Services: []bundle.Service{{Name: "a"}, {Name: "b"}}, Routes: []bundle.Route{{Name: "r", Methods: []string{"PUT", "GET"}}}}
+	b := bundle.Bundle{Services: []bundle.Service{{Name: "b"}, {Name: "a"}}, Routes: []bundle.Route{{Name: "r", Methods: []string{"GET", "PUT"}}}}
+	empty := bundle.Bundle{Services: []bundle.Service{}, Routes: []bundle.Route{}}
+	for _, x := range []*bundle.Bundle{&a, &b, &empty} {
+		x.Normalize()
+	}
+	idA, err := a.ContentID()
+	is.NoErr(err)
+	idB, err := b.ContentID()
+	is.NoErr(err)
+	is.Equal(idA, idB)
+	idEmpty, err := empty.ContentID()
+	is.NoErr(err)
+	idNil, err := (&bundle.Bundle{}).ContentID()
+	is.NoErr(err)
+	is.Equal(idEmpty, idNil)
+}
+
+func TestChangesNameTheKeys(t *testing.T) {
+	is := is.New(t)
+	from := bundle.Bundle{Services: []bundle.Service{{Name: "a"}, {Name: "gone"}}, Routes: []bundle.Route{{Name: "r", Host: "x"}}}
+	to := bundle.Bundle{Services: []bundle.Service{{Name: "a", Timeout: bundle.Duration(time.Second), Queue: bundle.QueueLimits{Batch: 3}}, {Name: "new"}}, Routes: []bundle.Route{{Name: "r", Host: "y"}}}
+	var lines []string
+	for _, c := range bundle.Changes(&from, &to) {
+		lines = append(lines, c.String())
+	}
+	is.Equal(lines, []string{
+		"~ service a: timeout 0s -> 1s, queue.batch 0 -> 3",
+		"- service gone",
+		"+ service new",
+		`~ route r: host "x" -> "y"`,
+	})
+}
+
+// What a node gets from a peer has not passed through a source folder.
+func TestValidateFindsDuplicates(t *testing.T) {
+	is := is.New(t)
+	b := bundle.Bundle{Services: []bundle.Service{{Name: "a"}, {Name: "a"}}, Routes: []bundle.Route{{Name: "r"}, {Name: "r"}}}
+	found := map[string]bool{}
+	for _, f := range bundle.Validate(&b) {
+		found[f.Message] = true
+	}
+	is.True(found[`service "a" is defined twice`])
+	is.True(found[`route "r" is defined twice`])
+}
+
+func signed(t *testing.T, seed byte) (bundle.Acceptance, ed25519.PublicKey) {
+	t.Helper()
+	private := ed25519.NewKeyFromSeed(append(make([]byte, ed25519.SeedSize-1), seed))
+	a := bundle.Acceptance{
+		Version: 3, Bundle: "b", Parent: "p", Acceptor: "ioana", Preparer: "mihai", Reason: "r", Operation: "o",
+		Time: time.Date(2026, 3, 12, 12, 0, 0, 123456789, time.FixedZone("EET", 7200)),
+	}
+	is.New(t).NoErr(a.Sign("k", private))
+	return a, private.Public().(ed25519.PublicKey)
+}
+
+func TestSignatureSurvivesTheCodecs(t *testing.T) {
+	is := is.New(t)
+	a, public := signed(t, 1)
+	ring := bundle.NewKeyring(bundle.TrustedKey{ID: "k", Operator: "ioana", Public: public})
+	is.NoErr(ring.Verify(&a))
+	var viaJSON, viaCBOR bundle.Acceptance
+	raw, err := json.Marshal(a)
+	is.NoErr(err)
+	is.NoErr(json.Unmarshal(raw, &viaJSON))
+	is.NoErr(ring.Verify(&viaJSON))
+	raw, err = cbor.Marshal(a)
+	is.NoErr(err)
+	is.NoErr(cbor.Unmarshal(raw, &viaCBOR))
+	is.NoErr(ring.Verify(&viaCBOR))
+}
+
+func TestEverySignedFieldIsProtected(t *testing.T) {
+	changes := map[string]func(*bundle.Acceptance){
+		"version":   func(a *bundle.Acceptance) { a.Version++ },
+		"bundle":    func(a *bundle.Acceptance) { a.Bundle = "x" },
+		"parent":    func(a *bundle.Acceptance) { a.Parent = "x" },
+		"preparer":  func(a *bundle.Acceptance) { a.Preparer = "x" },
+		"time":      func(a *bundle.Acceptance) { a.Time = a.Time.Add(time.Second) },
+		"reason":    func(a *bundle.Acceptance) { a.Reason = "x" },
+		"operation": func(a *bundle.Acceptance) { a.Operation = "x" },
+		"signature": func(a *bundle.Acceptance) { a.Signature[0] ^= 1 },
+		"acceptor":  func(a *bundle.Acceptance) { a.Acceptor = "x" },
+		"key":       func(a *bundle.Acceptance) { a.KeyID = "x" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, public := signed(t, 1)
+			change(&a)
+			ring := bundle.NewKeyring(bundle.TrustedKey{ID: "k", Operator: "ioana", Public: public})
+			is.True(errors.Is(ring.Verify(&a), bundle.ErrSignature))
+		})
+	}
+}
+
+func TestWithdrawnAndForeignKeysAreRefused(t *testing.T) {
+	is := is.New(t)
+	a, public := signed(t, 1)
+	_, other := signed(t, 2)
+	for _, key := range []bundle.TrustedKey{
+		{ID: "k", Operator: "ioana", Public: public, Withdrawn: true},
+		{ID: "k", Operator: "mihai", Public: public},
+		{ID: "k", Operator: "ioana", Public: other},
+	} {
+		is.True(errors.Is(bundle.NewKeyring(key).Verify(&a), bundle.ErrSignature))
+	}
+}
+
+// Whatever a peer sends, decoding ends without a panic; what it accepts encodes
+// to the same content.
+func FuzzDecode(f *testing.F) {
+	b := bundle.Bundle{Services: []bundle.Service{{Name: "a"}}, Routes: []bundle.Route{{Name: "r", Methods: []string{"GET"}}}}
+	data, err := b.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(strings.Repeat("\x00", 64)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, _ = bundle.DecodeDelta(data)
+		got, err := bundle.Decode(data)
+		if err != nil {
+			return
+		}
+		bundle.Validate(&got)
+		again, err := got.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		same, err := bundle.Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		one, _ := got.ContentID()
+		two, _ := same.ContentID()
+		if one != two {
+			t.Fatalf("content id changes from %s to %s", one, two)
+		}
+	})
+}
--- a/pkg/bundle/source/source.go
+++ b/pkg/bundle/source/source.go
@@ -99,14 +99,16 @@
 	}
 	for i, s := range f.Services {
 		p := place{positions: positions, key: fmt.Sprintf("services[%d]", i)}
-		l.define(l.services, "service", s.Name, p)
-		l.bundle.Services = append(l.bundle.Services, s)
+		if l.define(l.services, "service", s.Name, p) {
+			l.bundle.Services = append(l.bundle.Services, s)
+		}
 	}
 	for i, r := range f.Routes {
 		p := place{positions: positions, key: fmt.Sprintf("routes[%d]", i)}
 		setAttempts(&r, p)
-		l.define(l.routes, "route", r.Name, p)
-		l.bundle.Routes = append(l.bundle.Routes, r)
+		if l.define(l.routes, "route", r.Name, p) {
+			l.bundle.Routes = append(l.bundle.Routes, r)
+		}
 	}
 }
 
@@ -121,15 +123,17 @@
 	}
 }
 
-// define notes where an object stands and refuses a second one of its name.
-func (l *loader) define(places map[string]place, kind, name string, p place) {
+// define notes where an object stands. It refuses a second one of its name and
+// reports whether the object is the first.
+func (l *loader) define(places map[string]place, kind, name string, p place) bool {
 	first, ok := places[name]
 	if !ok {
 		places[name] = p
-		return
+		return true
 	}
 	l.faults = append(l.faults, p.positions.Fault(p.key+".name",
 		"%s %q is already defined in %s", kind, name, first.describe()))
+	return false
 }
 
 func (p place) describe() string {
--- a/pkg/cli/bundlesignoff.go
+++ b/pkg/cli/bundlesignoff.go
@@ -16,9 +16,9 @@
 type bundleSignOffCmd struct {
 	platformFlags
 	Bundle        string         `arg:"positional,required" help:"id of the bundle, or its first characters"`
-	ExpectVersion *model.Version `arg:"--expect-version,required" placeholder:"N" help:"version that you saw in force; 0 before the first one"`
-	Key           string         `arg:"--key,required" placeholder:"FILE" help:"your private key"`
-	As            string         `arg:"--as,required,env:TARRAGONDRUM_OPERATOR" placeholder:"NAME" help:"your name, as the key's entry in the settings has it"`
+	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that you saw in force, 0 before the first one; required"`
+	Key           string         `arg:"--key" placeholder:"FILE" help:"your private key; required"`
+	As            string         `arg:"--as,env:TARRAGONDRUM_OPERATOR" placeholder:"NAME" help:"your name, as the key's entry in the settings has it; required"`
 	Reason        string         `arg:"--reason" help:"why, shown in the history"`
 	JSON          bool           `arg:"--json" help:"print JSON"`
 }
@@ -28,6 +28,12 @@
 }
 
 func (c *bundleSignOffCmd) run(ctx context.Context, env Env) int {
+	if c.ExpectVersion == nil {
+		return env.exit(usagef("say which version you saw in force: --expect-version N"))
+	}
+	if c.Key == "" || c.As == "" {
+		return env.exit(usagef("say who signs off and with which key: --as NAME and --key FILE"))
+	}
 	key, err := readKey(c.Key)
 	if err != nil {
 		return env.exit(&usageError{err: err})
--- a/pkg/cli/key.go
+++ b/pkg/cli/key.go
@@ -24,8 +24,8 @@
 }
 
 type keyGenerateCmd struct {
-	Name string `arg:"--name,required" help:"name of the operator"`
-	Out  string `arg:"--out,required" placeholder:"FILE" help:"file for the private key; it must not exist"`
+	Name string `arg:"--name" help:"name of the operator; required"`
+	Out  string `arg:"--out" placeholder:"FILE" help:"file for the private key, which must not exist; required"`
 	ID   string `arg:"--key-id" help:"name of the key; by default the operator's name and today's date"`
 }
 
@@ -64,6 +64,9 @@
 func (k privateKey) private() ed25519.PrivateKey { return ed25519.NewKeyFromSeed(k.Seed) }
 
 func (c *keyGenerateCmd) run(_ context.Context, env Env) int {
+	if c.Name == "" || c.Out == "" {
+		return env.exit(usagef("say whose key it is and where to put it: --name NAME and --out FILE"))
+	}
 	key := privateKey{Name: c.Name, KeyID: c.ID, Seed: make(keySeed, ed25519.SeedSize)}
 	if key.KeyID == "" {
 		key.KeyID = c.Name + "-" + time.Now().UTC().Format("20060102")
--- a/pkg/jsonc/jsonc.go
+++ b/pkg/jsonc/jsonc.go
@@ -76,11 +76,15 @@
 // fault are set even if others have one.
 func Decode(file string, data []byte, v any) (*Positions, []bundle.Fault) {
 	p := &Positions{file: file, lines: make(map[string]int)}
+	d := &decoder{positions: p, newlines: lineStarts(data)}
+	if offset := tooDeep(data); offset >= 0 {
+		d.faultAt(d.line(offset), "", "syntax: objects and lists are nested more than %d deep", maxDepth)
+		return p, d.faults
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return p, []bundle.Fault{syntaxFault(file, err)}
 	}
-	d := &decoder{positions: p, newlines: lineStarts(data)}
 	d.decodeRoot(root, v)
 	return p, d.faults
 }
