--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -63,6 +63,8 @@
 
 // rootArgs is the whole command line.
 type rootArgs struct {
+	Demo       *demoCmd       `arg:"subcommand:demo" help:"walk through the whole path in one process"`
+	Node       *nodeCmd       `arg:"subcommand:node" help:"run the node of a host"`
 	Bundle     *bundleCmd     `arg:"subcommand:bundle" help:"prepare, sign off, roll and compare bundles"`
 	Key        *keyCmd        `arg:"subcommand:key" help:"make operators' keys"`
 	Platform   *platformCmd   `arg:"subcommand:platform" help:"run a stand-in for the platform, for trying out"`
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -28,8 +28,8 @@
 	Name() string
 	// Needs returns the names of services that must run before this one.
 	Needs() []string
-	// Start makes the service ready and returns. It must not block; background
-	// work ends when Stop is called.
+	// Start makes the service ready and returns within a bounded time. Background
+	// work that it begins ends when Stop is called.
 	Start(ctx context.Context, k *Kernel) error
 	// Stop ends the service gracefully. It returns once all background work has
 	// ended or ctx is done.
--- /dev/null
+++ b/pkg/node/services.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/tarragondrum/tarragondrum/pkg/kernel"
+	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/platform/rest"
+	"github.com/tarragondrum/tarragondrum/pkg/settings"
+)
+
+// platformName is the name under which services look up the object API.
+const platformName = "platform"
+
+// platformService is the object API as a service of the kernel.
+type platformService struct {
+	platform.Store
+	close func()
+}
+
+// Name implements kernel.Service.
+func (*platformService) Name() string { return platformName }
+
+// Needs implements kernel.Service.
+func (*platformService) Needs() []string { return nil }
+
+// Start implements kernel.Service. It makes no call: a node starts while the
+// platform is down.
+func (*platformService) Start(context.Context, *kernel.Kernel) error { return nil }
+
+// Stop implements kernel.Service.
+func (p *platformService) Stop(context.Context) error {
+	p.close()
+	return nil
+}
+
+// newPlatform returns the object API that the settings name.
+func newPlatform(s settings.Platform) (*platformService, error) {
+	client, err := rest.New(rest.Config{
+		URL:       s.URL,
+		Mesh:      s.Mesh,
+		TokenFile: s.TokenFile,
+		Timeout:   s.Timeout.Std(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	return &platformService{Store: client, close: client.Close}, nil
+}
