--- a/pkg/cli/ask.go
+++ b/pkg/cli/ask.go
@@ -82,6 +82,7 @@
 type upstreamCmd struct {
 	List  *upstreamListCmd  `arg:"subcommand:list" help:"list the upstreams of a host"`
 	Drain *upstreamDrainCmd `arg:"subcommand:drain" help:"stop an upstream without cutting off a call"`
+	Serve *upstreamServeCmd `arg:"subcommand:serve" help:"run a stand-in upstream, for trying out"`
 }
 
 type upstreamListCmd struct {
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -183,5 +183,6 @@
 	for _, h := range t.mesh.Hosts {
 		t.say("  %-24s calls %s  admin %s", h.Settings.Node.ID, h.InboundURL(), h.AdminURL())
 	}
+	t.say("Bundle folder and operators' keys: %s", t.dir)
 	<-ctx.Done()
 }
