Hold a node to its platform budget, and give the ledger its limits

Cause: the demo's orders were answered key-expired: the node made the ledger without limits, so a record's retention was zero and every key was older than the floor. Ruled out: the table's first range (it reaches a minute back). Change: pass order.DefaultLimits and DefaultLookahead; platform calls go through budget.Store.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/mesh/wire"
 	"github.com/tarragondrum/tarragondrum/pkg/metric"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/order"
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
 	"github.com/tarragondrum/tarragondrum/pkg/proxy"
 	"github.com/tarragondrum/tarragondrum/pkg/quarantine"
@@ -78,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSettings, err)
 	}
-	store, err := newPlatform(o.Settings.Platform)
+	store, err := newPlatform(o.Settings.Platform, n.registry, n.log)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSettings, err)
 	}
@@ -119,6 +120,8 @@
 		Registry:    n.registry,
 		Log:         n.log,
 		TakesOrders: n.takesOrders,
+		Lookahead:   order.DefaultLookahead(),
+		Limits:      order.DefaultLimits(),
 	})
 	guard := quarantine.New(n.registry, n.log)
 	ready := &gate{name: "rollout.ready", needs: []string{distributor.ServiceName}, ready: n.rollout.Ready()}
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 
+	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/kernel"
+	"github.com/tarragondrum/tarragondrum/pkg/metric"
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/platform/budget"
 	"github.com/tarragondrum/tarragondrum/pkg/platform/rest"
 	"github.com/tarragondrum/tarragondrum/pkg/settings"
 )
@@ -35,8 +38,9 @@
 	return nil
 }
 
-// newPlatform returns the object API that the settings name.
-func newPlatform(s settings.Platform) (*platformService, error) {
+// newPlatform returns the object API that the settings name, within this
+// process's budget of calls.
+func newPlatform(s settings.Platform, registry *metric.Registry, log *event.Log) (*platformService, error) {
 	client, err := rest.New(rest.Config{
 		URL:       s.URL,
 		Mesh:      s.Mesh,
@@ -46,5 +50,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
-	return &platformService{Store: client, close: client.Close}, nil
+	store := budget.New(client, budget.Options{}, registry, log)
+	return &platformService{Store: store, close: client.Close}, nil
 }
