--- a/pkg/distributor/distributor_test.go
+++ b/pkg/distributor/distributor_test.go
@@ -304,7 +304,6 @@
 func TestProgressIsWrittenAtBoundedRate(t *testing.T) {
 	run(t, func(is *is.I, c *cluster) {
 		c.start(25, "cluj-1", "cluj-2")
-		before := c.store.Calls().Put
 		for v := range model.Version(3) {
 			c.signOff(v + 1)
 			c.converge(v+1, time.Second)
@@ -319,7 +318,11 @@
 			is.Equal(p.Version, model.Version(3))
 			is.Equal(len(p.Laggards), 0)
 		}
-		is.True(c.store.Calls().Put-before < 3*3+2*6) // sign-offs and the summaries
+		puts := 0
+		for _, n := range c.nodes {
+			puts += n.store.puts
+		}
+		is.True(puts <= 2*3*2) // two for each data centre and change
 		c.store.SetDown(true)
 		is.Equal(len(c.nodes["cluj-1-07"].service.Progress(c.t.Context())), 2) // from the leads
 	})
--- a/pkg/distributor/harness_test.go
+++ b/pkg/distributor/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/ed25519"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -273,6 +274,15 @@
 	mu     sync.Mutex
 	closed bool
 	silent bool
+	puts   int
+}
+
+// Put counts the writes of the node.
+func (g *gate) Put(ctx context.Context, key platform.Key, value json.RawMessage, at platform.Revision) (platform.Revision, error) {
+	g.mu.Lock()
+	g.puts++
+	g.mu.Unlock()
+	return g.Store.Put(ctx, key, value, at)
 }
 
 func (g *gate) setClosed(closed bool) {
--- a/pkg/distributor/metrics.go
+++ b/pkg/distributor/metrics.go
@@ -18,7 +18,7 @@
 	transitions *prometheus.CounterVec
 	invariants  *prometheus.CounterVec
 	platform    *prometheus.CounterVec
-	sent        *prometheus.CounterVec
+	updates     *prometheus.CounterVec
 	usage       usage
 }
 
@@ -32,43 +32,42 @@
 		transitions: metric.Counter(r, "rollout_transitions_total", "State changes of applications, by new state.", "to"),
 		invariants:  metric.Counter(r, "rollout_invariant_violations_total", "Violated invariants; each one is a defect.", "invariant"),
 		platform:    metric.Counter(r, "rollout_platform_calls_total", "Calls of the roll-out to the platform, by call.", "call"),
-		sent:        metric.Counter(r, "rollout_update_bytes_total", "Bytes of encoded updates sent to peers, by purpose.", "purpose"),
+		updates:     metric.Counter(r, "rollout_update_bytes_total", "Bytes of encoded updates received from peers, by use.", "use"),
 	}
 }
 
-// Purposes of sent updates.
+// What received updates were good for.
 const (
-	purposePush   = "push"
-	purposeRepair = "repair"
+	// usePush: a push brought the update to a node that lacked it.
+	usePush = "push"
+	// useRepair: a pull brought it, or a push to a node that had it already.
+	useRepair = "repair"
 )
 
-// usage counts the encoded updates that this node sent.
+// usage counts the bytes of encoded updates that this node received.
 type usage struct {
-	pushBytes   atomic.Uint64
-	repairBytes atomic.Uint64
+	push   atomic.Uint64
+	repair atomic.Uint64
 }
 
-func (m *metrics) countUpdate(purpose string, bytes int) {
-	m.sent.WithLabelValues(purpose).Add(float64(bytes))
-	if purpose == purposePush {
-		m.usage.pushBytes.Add(uint64(bytes))
+func (m *metrics) countUpdate(use string, bytes int) {
+	m.updates.WithLabelValues(use).Add(float64(bytes))
+	if use == usePush {
+		m.usage.push.Add(uint64(bytes))
 		return
 	}
-	m.usage.repairBytes.Add(uint64(bytes))
+	m.usage.repair.Add(uint64(bytes))
 }
 
-// Usage is the number of bytes of encoded updates that a node has sent.
+// Usage is the number of bytes of encoded updates that a node has received.
 type Usage struct {
-	// PushBytes were sent on the first try of a push.
-	PushBytes uint64
-	// RepairBytes were sent again, or in answer to a pull.
-	RepairBytes uint64
+	// Push were brought by pushes and needed.
+	Push uint64
+	// Repair were brought by pulls, or by pushes that were not needed.
+	Repair uint64
 }
 
-// Usage returns the bytes of updates sent since the start.
+// Usage returns the bytes of updates received since the start.
 func (s *Service) Usage() Usage {
-	return Usage{
-		PushBytes:   s.metrics.usage.pushBytes.Load(),
-		RepairBytes: s.metrics.usage.repairBytes.Load(),
-	}
+	return Usage{Push: s.metrics.usage.push.Load(), Repair: s.metrics.usage.repair.Load()}
 }
--- a/pkg/distributor/pull.go
+++ b/pkg/distributor/pull.go
@@ -152,6 +152,7 @@
 	if len(reply.Update) == 0 {
 		return reply, errPeerBehind
 	}
+	p.s.metrics.countUpdate(useRepair, len(reply.Update))
 	u, err := bundle.DecodeUpdate(reply.Update)
 	if err != nil {
 		p.s.badMessage(peer, err)
@@ -235,7 +236,6 @@
 	if err != nil {
 		return nil, err
 	}
-	s.metrics.countUpdate(purposeRepair, len(u.bytes))
 	reply.Version = u.version
 	reply.Update = u.bytes
 	if r.History {
--- a/pkg/distributor/push.go
+++ b/pkg/distributor/push.go
@@ -79,9 +79,8 @@
 // cover pushes version v to every member in the span.
 func (p *spreader) cover(ctx context.Context, v model.Version, span rollout.Span) {
 	g := p.s.group()
-	ids := rollout.Within(g.own(), span, g.self)
 	var branches sync.WaitGroup
-	for _, b := range rollout.Split(ids, p.s.tuning.Fanout) {
+	for _, b := range rollout.Branches(g.own(), span, g.self, p.s.tuning.Fanout) {
 		branches.Go(func() { p.branch(ctx, g, v, b) })
 	}
 	branches.Wait()
@@ -107,7 +106,7 @@
 		if attempt > 0 {
 			p.s.metrics.retries.WithLabelValues("push-unanswered").Inc()
 		}
-		err = p.push(ctx, to, v, span, attempt > 0)
+		err = p.push(ctx, to, v, span)
 		if err == nil || !errors.Is(err, mesh.ErrTimeout) || ctx.Err() != nil {
 			return err
 		}
@@ -116,23 +115,23 @@
 }
 
 // push sends version v to one peer and returns once the peer has applied it.
-func (p *spreader) push(ctx context.Context, to mesh.Peer, v model.Version, span rollout.Span, repair bool) error {
+func (p *spreader) push(ctx context.Context, to mesh.Peer, v model.Version, span rollout.Span) error {
 	acc := p.s.applier.acceptance()
 	if acc == nil || acc.Version != v {
 		return nil // a newer version is pushed instead
 	}
-	return p.send(ctx, to, span, acc.Parent, repair)
+	return p.send(ctx, to, span, acc.Parent)
 }
 
 // send pushes the version in force, first from the likely base and, when the
 // peer names another one, from that.
-func (p *spreader) send(ctx context.Context, to mesh.Peer, span rollout.Span, base bundle.ID, repair bool) error {
+func (p *spreader) send(ctx context.Context, to mesh.Peer, span rollout.Span, base bundle.ID) error {
 	for range 2 {
 		u, err := p.s.updates.from(base)
 		if err != nil {
 			return err
 		}
-		reply, err := p.call(ctx, to, pushRequest{Version: u.version, Span: span, Update: u.bytes}, repair)
+		reply, err := p.call(ctx, to, pushRequest{Version: u.version, Span: span, Update: u.bytes})
 		if err != nil {
 			return err
 		}
@@ -143,32 +142,26 @@
 			return errPushRefused
 		}
 		base = reply.Base
-		repair = true
 	}
 	return errPushRefused
 }
 
 // offer asks whether the peer has version v, and sends the update if not.
 func (p *spreader) offer(ctx context.Context, to mesh.Peer, v model.Version, span rollout.Span) error {
-	reply, err := p.call(ctx, to, pushRequest{Version: v, Span: span}, true)
+	reply, err := p.call(ctx, to, pushRequest{Version: v, Span: span})
 	if err != nil {
 		return err
 	}
 	if reply.Outcome != outcomeWant {
 		return nil
 	}
-	return p.send(ctx, to, span, reply.Base, false)
+	return p.send(ctx, to, span, reply.Base)
 }
 
-func (p *spreader) call(ctx context.Context, to mesh.Peer, r pushRequest, repair bool) (pushReply, error) {
+func (p *spreader) call(ctx context.Context, to mesh.Peer, r pushRequest) (pushReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.s.tuning.PushTimeout)
 	defer cancel()
 	r.ConfirmedMs = toMs(p.s.lastConfirmed())
-	purpose := purposePush
-	if repair {
-		purpose = purposeRepair
-	}
-	p.s.metrics.countUpdate(purpose, len(r.Update))
 	var reply pushReply
 	err := p.s.options.Transport.Call(ctx, to, mesh.KindPush, r, &reply)
 	if err != nil && ctx.Err() != nil && !errors.Is(err, mesh.ErrUnreachable) {
@@ -266,6 +259,7 @@
 		return nil, err
 	}
 	if s.Applied() >= r.Version {
+		s.metrics.countUpdate(useRepair, len(r.Update))
 		return s.havePush(r), nil
 	}
 	if len(r.Update) == 0 {
@@ -285,6 +279,7 @@
 		s.badMessage(from, err)
 		return nil, err
 	}
+	s.metrics.countUpdate(usePush, len(r.Update))
 	err = s.take(u, fromMs(r.ConfirmedMs))
 	if errors.Is(err, bundle.ErrBase) {
 		return s.wantPush(), nil
--- a/pkg/rollout/span.go
+++ b/pkg/rollout/span.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/tarragondrum/tarragondrum/pkg/model"
@@ -20,24 +21,6 @@
 // Empty reports whether the span holds no id at all.
 func (s Span) Empty() bool { return s.First == "" && s.Last == "" }
 
-// Within returns the sorted ids that lie in s, without self.
-func Within(sorted []model.NodeID, s Span, self model.NodeID) []model.NodeID {
-	if s.Empty() {
-		return nil
-	}
-	from := sort.Search(len(sorted), func(i int) bool { return sorted[i] >= s.First })
-	var ids []model.NodeID
-	for _, id := range sorted[from:] {
-		if id > s.Last {
-			break
-		}
-		if id != self {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Whole returns the span of all the sorted ids.
 func Whole(sorted []model.NodeID) Span {
 	if len(sorted) == 0 {
@@ -53,17 +36,47 @@
 // Span returns the range of ids of the branch.
 func (b Branch) Span() Span { return Whole(b) }
 
-// Split divides the sorted ids into at most fanout branches whose sizes differ
-// by at most one.
-func Split(sorted []model.NodeID, fanout int) []Branch {
-	if fanout > len(sorted) {
-		fanout = len(sorted)
+// Branches divides the sorted ids that lie in the span, without self, into
+// about fanout branches of similar size. No branch's span contains self, so
+// that a push never comes back to where it has been.
+func Branches(sorted []model.NodeID, s Span, self model.NodeID, fanout int) []Branch {
+	if s.Empty() {
+		return nil
+	}
+	from := sort.Search(len(sorted), func(i int) bool { return sorted[i] >= s.First })
+	to := sort.Search(len(sorted), func(i int) bool { return sorted[i] > s.Last })
+	if from >= to {
+		return nil
+	}
+	return branches(sorted[from:to], self, fanout)
+}
+
+// branches divides ids, cut where self stands.
+func branches(ids []model.NodeID, self model.NodeID, fanout int) []Branch {
+	at, found := slices.BinarySearch(ids, self)
+	below, above := ids[:at], ids[at:]
+	if found {
+		above = ids[at+1:]
 	}
-	branches := make([]Branch, 0, fanout)
-	for i := range fanout {
-		from := i * len(sorted) / fanout
-		to := (i + 1) * len(sorted) / fanout
-		branches = append(branches, Branch(sorted[from:to]))
+	total := len(below) + len(above)
+	if total == 0 {
+		return nil
+	}
+	share := (fanout*len(below) + total/2) / total
+	if len(below) > 0 {
+		share = max(share, 1)
+	}
+	return append(split(below, share), split(above, max(fanout-share, 1))...)
+}
+
+// split divides ids into at most n branches whose sizes differ by at most one.
+func split(ids []model.NodeID, n int) []Branch {
+	n = min(n, len(ids))
+	list := make([]Branch, 0, n)
+	for i := range n {
+		from := i * len(ids) / n
+		to := (i + 1) * len(ids) / n
+		list = append(list, Branch(ids[from:to]))
 	}
-	return branches
+	return list
 }
--- a/pkg/rollout/tree.go
+++ b/pkg/rollout/tree.go
@@ -10,54 +10,39 @@
 // whole sorted list and every relay answers, so that reports travel back on the
 // streams of the push. It reports false for the root and for unknown nodes.
 func Parent(sorted []model.NodeID, root, self model.NodeID, fanout int) (model.NodeID, bool) {
-	if self == root {
-		return "", false
-	}
-	parent := root
-	ids := without(sorted, root)
-	for {
-		branch, ok := branchOf(ids, self, fanout)
+	parent, ids := root, sorted
+	for parent != self {
+		b, ok := branchOf(branches(ids, parent, fanout), self)
 		if !ok {
 			return "", false
 		}
-		if branch[0] == self {
+		if b[0] == self {
 			return parent, true
 		}
-		parent = branch[0]
-		ids = branch[1:]
+		parent, ids = b[0], b
 	}
+	return "", false
 }
 
 // Children returns the nodes to which self pushes under the same conditions.
 func Children(sorted []model.NodeID, root, self model.NodeID, fanout int) []model.NodeID {
-	ids := without(sorted, root)
-	for self != root {
-		branch, ok := branchOf(ids, self, fanout)
+	node, ids := root, sorted
+	for node != self {
+		b, ok := branchOf(branches(ids, node, fanout), self)
 		if !ok {
 			return nil
 		}
-		ids = branch[1:]
-		if branch[0] == self {
-			break
-		}
+		node, ids = b[0], b
 	}
 	var children []model.NodeID
-	for _, b := range Split(ids, fanout) {
+	for _, b := range branches(ids, self, fanout) {
 		children = append(children, b[0])
 	}
 	return children
 }
 
-func without(sorted []model.NodeID, id model.NodeID) []model.NodeID {
-	i, ok := slices.BinarySearch(sorted, id)
-	if !ok {
-		return sorted
-	}
-	return slices.Delete(slices.Clone(sorted), i, i+1)
-}
-
-func branchOf(ids []model.NodeID, id model.NodeID, fanout int) (Branch, bool) {
-	for _, b := range Split(ids, fanout) {
+func branchOf(list []Branch, id model.NodeID) (Branch, bool) {
+	for _, b := range list {
 		if _, ok := slices.BinarySearch(b, id); ok {
 			return b, true
 		}
