Send waiting calls back from a stalled upstream, and watch callers cheaply

Cause: calls waited for their whole deadline at an upstream that answered nothing; hertz started a goroutine for each call to notice a caller that goes and waited for it before each answer. Change: a full upstream without any answer for ten mean service times (at least 250 ms) refuses calls as not run, waiting ones included, and a call is refused as soon as it can no longer make its deadline. The node looks at the caller's socket every 10 ms instead. The margin of a hop is 2% of the remaining time, from 1 to 20 ms. Ejected upstreams that return and changed limits are logged, and connections to nodes that left are closed.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -33,6 +33,9 @@
 	// Reason and RetryAfter are set for refused calls.
 	Reason     reason.Reason
 	RetryAfter time.Duration
+	// LookAt is the time at which Next must be called for a queued call at the
+	// latest, so that it is refused as soon as waiting is of no use.
+	LookAt time.Time
 }
 
 // Config bounds a queue.
@@ -71,6 +74,12 @@
 	optimism = 0.5
 	// smoothing is the weight of the newest service time in the mean.
 	smoothing = 0.1
+	// stallFactor is the number of mean service times without any answer after
+	// which a full upstream counts as stalled, and minStall the shortest such time.
+	stallFactor = 10
+	minStall    = 250 * time.Millisecond
+	// unknownStall is used for classes of which no call has ended yet.
+	unknownStall = 5 * time.Second
 	// minRetryAfter is the shortest advice to come back later.
 	minRetryAfter = time.Second
 	// maxRetryAfter is the longest one.
@@ -112,6 +121,8 @@
 	// passed counts the grants to others since the last grant of a class that
 	// had a call waiting.
 	passed [numClasses]int
+	// progress is the last time at which a call ended or a slot was free.
+	progress time.Time
 }
 
 // NewQueue returns an empty queue.
@@ -145,17 +156,68 @@
 	}
 	if q.startsAtOnce(c) {
 		q.running[c]++
+		q.progress = now
 		return Decision{Verdict: Admitted}
 	}
 	wait := q.estimate(c)
+	if q.stalled(now) {
+		return Decision{Verdict: Refused, Reason: reason.QueueTimeout, RetryAfter: advice(wait)}
+	}
 	if len(q.waiting[c]) >= q.config.Waiting(class) {
 		return Decision{Verdict: Refused, Reason: reason.QueueFull, RetryAfter: advice(wait)}
 	}
 	if now.Add(wait + need).After(deadline) {
 		return Decision{Verdict: Refused, Reason: reason.QueueTimeout, RetryAfter: advice(wait)}
 	}
-	q.waiting[c] = append(q.waiting[c], waiter{id: id, arrived: now, deadline: deadline})
-	return Decision{Verdict: Queued}
+	w := waiter{id: id, arrived: now, deadline: deadline}
+	q.waiting[c] = append(q.waiting[c], w)
+	return Decision{Verdict: Queued, LookAt: q.lookAt(now, c, w)}
+}
+
+// LookAt returns the time of the next look at a waiting call, and false if the
+// call does not wait.
+func (q *Queue) LookAt(now time.Time, id uint64) (time.Time, bool) {
+	for c := range q.waiting {
+		for _, w := range q.waiting[c] {
+			if w.id == id {
+				return q.lookAt(now, c, w), true
+			}
+		}
+	}
+	return time.Time{}, false
+}
+
+// lookAt returns the earlier of the times at which the call can no longer make
+// its deadline and at which the upstream may count as stalled.
+func (q *Queue) lookAt(now time.Time, c int, w waiter) time.Time {
+	hopeless := w.deadline.Add(-q.need(c))
+	stall := q.progress.Add(q.stallAfter())
+	if stall.Before(now) {
+		stall = now.Add(minStall)
+	}
+	if stall.Before(hopeless) {
+		return stall
+	}
+	return hopeless
+}
+
+// stalled reports whether every slot is taken and no call has ended for long.
+// Calls are then better off at another upstream.
+func (q *Queue) stalled(now time.Time) bool {
+	return q.total() >= q.limit.Current() && now.Sub(q.progress) >= q.stallAfter()
+}
+
+// stallAfter is the time without an answer after which a full upstream counts
+// as stalled. Before the first answer there is no telling.
+func (q *Queue) stallAfter() time.Duration {
+	longest := time.Duration(0)
+	for c, mean := range q.mean {
+		if q.running[c] > 0 && mean == 0 {
+			return unknownStall
+		}
+		longest = max(longest, mean)
+	}
+	return max(minStall, stallFactor*longest)
 }
 
 // Done ends a call that held a slot. took is the time that the upstream needed.
@@ -163,6 +225,7 @@
 	c := indexOf(class)
 	saturated := q.total() >= q.limit.Current() || q.queued() > 0
 	q.running[c]--
+	q.progress = now
 	if o == OutcomeOK {
 		q.observe(c, took)
 	}
@@ -186,6 +249,9 @@
 // Next appends to events every waiting call that starts now or can no longer
 // make its deadline.
 func (q *Queue) Next(now time.Time, events []Event) []Event {
+	if q.stalled(now) {
+		return q.Flush(reason.QueueTimeout, events)
+	}
 	for c := range q.waiting {
 		events = q.expire(now, c, events)
 	}
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -261,3 +261,26 @@
 	is.Equal(events[0].Reason, reason.QueueTimeout)
 	is.Equal(events[1], admission.Event{ID: 3, Granted: true})
 }
+
+// Calls that wait at an upstream that answers nothing are sent back at once, so
+// that they can run elsewhere.
+func TestStalledUpstreamKeepsNobodyWaiting(t *testing.T) {
+	is := is.New(t)
+	q := admission.NewQueue(config(1, 1, 10))
+	deadline := epoch.Add(time.Hour)
+	q.Arrive(epoch, 1, model.ClassInteractive, deadline)
+	now := epoch.Add(service)
+	q.Done(now, model.ClassInteractive, service, admission.OutcomeOK)
+	q.Arrive(now, 2, model.ClassInteractive, deadline)
+	d := q.Arrive(now, 3, model.ClassInteractive, deadline)
+	is.Equal(d.Verdict, admission.Queued)
+	is.Equal(d.LookAt, now.Add(250*time.Millisecond))
+	is.Equal(len(q.Next(d.LookAt.Add(-1), nil)), 0)
+	events := q.Next(d.LookAt, nil)
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Reason, reason.QueueTimeout)
+	is.Equal(q.Arrive(d.LookAt, 4, model.ClassInteractive, deadline).Reason, reason.QueueTimeout)
+	now = d.LookAt.Add(time.Second)
+	q.Done(now, model.ClassInteractive, time.Second, admission.OutcomeOK)
+	is.Equal(q.Arrive(now, 5, model.ClassInteractive, deadline).Verdict, admission.Admitted)
+}
--- a/pkg/deadline/deadline.go
+++ b/pkg/deadline/deadline.go
@@ -16,9 +16,11 @@
 	Default = 15 * time.Second
 	// Max bounds every call.
 	Max = time.Hour
-	// HopMargin is taken off on each hop, so that the answer of an inner hop
-	// that gives up still reaches the outer one in time.
-	HopMargin = time.Millisecond
+	// A share of the remaining time, within bounds, is taken off on each hop, so
+	// that the answer of an inner hop that gives up still reaches the outer one.
+	marginShare = 50
+	minMargin   = time.Millisecond
+	maxMargin   = 20 * time.Millisecond
 	// maxHeaderBytes bounds the header's value.
 	maxHeaderBytes = 32
 )
@@ -59,7 +61,8 @@
 // Remaining returns the time that is passed on to the next hop. It is not
 // positive when the call has expired.
 func Remaining(now, deadline time.Time) time.Duration {
-	return deadline.Sub(now) - HopMargin
+	left := deadline.Sub(now)
+	return left - min(max(left/marginShare, minMargin), maxMargin)
 }
 
 // Format writes d as the value of Header.
--- a/pkg/deadline/deadline_test.go
+++ b/pkg/deadline/deadline_test.go
@@ -31,7 +31,8 @@
 	left := deadline.Remaining(now, end)
 	read, err := deadline.Parse(deadline.Format(left))
 	is.NoErr(err)
-	is.Equal(read, time.Second-deadline.HopMargin)
+	is.Equal(read, 980*time.Millisecond)
+	is.Equal(deadline.Remaining(now, now.Add(10*time.Millisecond)), 9*time.Millisecond)
 	is.True(deadline.Remaining(end, end) < 0)
 }
 
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -3,7 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/proxy/client"
 
@@ -47,3 +50,41 @@
 	b.Run("one node", func(b *testing.B) { get(b, far.inbound.Address()) })
 	b.Run("two nodes", func(b *testing.B) { get(b, near.inbound.Address()) })
 }
+
+// BenchmarkPaced sends 160 calls a second through two nodes and as many straight
+// to the upstream, in turn and without waiting for answers, and reports
+// percentiles of both. Run it with -benchtime=3200x.
+func BenchmarkPaced(b *testing.B) {
+	const gap = time.Second / 320
+	m := newMesh()
+	far := m.start(b, "b", catalogue(), nil)
+	srv := far.serve(b, "catalogue", "c1", http.HandlerFunc(stock))
+	near := m.start(b, "a", catalogue(), nil)
+	eventually(b, "the near node knows the upstream", func() bool { return near.endpoints() == 1 })
+	pools := [2]*client.Pool{client.NewPool(srv.Listener.Addr().String(), 64), client.NewPool(near.inbound.Address(), 64)}
+	took := [2][]time.Duration{make([]time.Duration, b.N), make([]time.Duration, b.N)}
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	start := time.Now()
+	for i := range 2 * b.N {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * gap)))
+		sent := time.Now()
+		wg.Go(func() {
+			var h protocol.RequestHeader
+			h.SetMethod("GET")
+			h.SetRequestURI("/shades")
+			h.SetHost("x")
+			var reply client.Reply
+			if err := pools[i%2].Do(b.Context(), &client.Request{Header: &h}, &reply); err != nil {
+				b.Error(err)
+			}
+			took[i%2][i/2] = time.Since(sent)
+		})
+	}
+	wg.Wait()
+	for i, name := range []string{"direct", "two-nodes"} {
+		slices.Sort(took[i])
+		b.ReportMetric(float64(took[i][b.N/2].Microseconds()), name+"-p50-us")
+		b.ReportMetric(float64(took[i][b.N*99/100].Microseconds()), name+"-p99-us")
+	}
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/tarragondrum/tarragondrum/pkg/deadline"
@@ -191,22 +190,3 @@
 	}
 	return reason.CallerGone
 }
-
-// closeSensor is implemented by hertz's connections: it cancels the handler's
-// context when the caller closes the connection.
-type closeSensor interface {
-	DetectConnectionClose()
-	AbortBlockingRead()
-}
-
-// senseCaller starts to watch the caller's connection once a body has been read
-// whole; hertz itself watches only for requests without a body. The returned
-// function must be called before the answer is written.
-func senseCaller(rc *app.RequestContext, c *call) (stop func()) {
-	sensor, ok := rc.GetConn().(closeSensor)
-	if !ok || !rc.Request.IsBodyStream() || !c.replayable() {
-		return func() {}
-	}
-	sensor.DetectConnectionClose()
-	return sensor.AbortBlockingRead
-}
--- a/pkg/proxy/forwarder.go
+++ b/pkg/proxy/forwarder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
+	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/proxy/client"
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
@@ -127,11 +128,13 @@
 
 // ended takes in how a try ended.
 func (f *forwarder) ended(c *call, e *entry, p *routing.Endpoint, a *answer, took time.Duration, err error) {
-	if !e.done(p, c, a.load, judge(c, a, err), took, time.Now()) {
-		return
+	switch e.done(p, c, a.load, judge(c, a, err), took, time.Now()) {
+	case changeEjected:
+		f.metrics.ejected.WithLabelValues(c.service).Inc()
+		f.log.Emit(event.EndpointEjected, event.F("service", c.service), event.F("node", p.Node), event.F("upstream", p.Upstream), event.F("reason", a.reason))
+	case changeBack:
+		f.log.Emit(event.EndpointBack, event.F("service", c.service), event.F("node", p.Node), event.F("upstream", p.Upstream))
 	}
-	f.metrics.ejected.WithLabelValues(c.service).Inc()
-	f.log.Emit(event.EndpointEjected, event.F("service", c.service), event.F("node", p.Node), event.F("upstream", p.Upstream), event.F("reason", a.reason))
 }
 
 // judge says what an answer tells about the endpoint's health. Refusals for
@@ -190,6 +193,24 @@
 	return p
 }
 
+// prune closes the connections to nodes that are no longer in the mesh.
+func (f *forwarder) prune(v *membership.View) {
+	known := make(map[string]bool, len(v.Members))
+	for _, m := range v.Members {
+		if m.Status != membership.StatusLeft && !m.Stopping {
+			known[m.InboundAddr] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, p := range f.pools {
+		if !known[address] {
+			p.Close()
+			delete(f.pools, address)
+		}
+	}
+}
+
 // closePools closes the idle connections to other nodes.
 func (f *forwarder) closePools() {
 	f.mu.Lock()
--- a/pkg/proxy/guard.go
+++ b/pkg/proxy/guard.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/proxy/client"
 )
 
 // guard is a listener that bounds how long a sender may take for its headers
@@ -68,10 +70,8 @@
 	// answered is set when the answer is ready; the next read on the connection
 	// then shows that it has been written.
 	answered atomic.Bool
-
-	// mu keeps a read that begins from undoing the bound of a call that begins.
-	mu sync.Mutex
-	// headerStart is the time of the first byte of a request; zero while idle.
+	// headerStart is the time of the first byte of a request; zero while idle. It
+	// is used by the connection's goroutine only.
 	headerStart time.Time
 }
 
@@ -80,41 +80,25 @@
 	if c.answered.Load() {
 		c.finish()
 	}
-	c.boundHeaders()
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.startHeaders()
+	if c.busy.Load() {
+		return c.Conn.Read(p)
 	}
-	return n, err
-}
-
-// boundHeaders ends reads in time once the first byte of a request has come.
-func (c *guardedConn) boundHeaders() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy.Load() && !c.headerStart.IsZero() {
+	if !c.headerStart.IsZero() {
 		_ = c.SetReadDeadline(c.headerStart.Add(c.guard.headerTimeout))
 	}
-}
-
-// startHeaders notes the first byte of a request.
-func (c *guardedConn) startHeaders() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy.Load() && c.headerStart.IsZero() {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.headerStart.IsZero() {
 		c.headerStart = time.Now()
 	}
+	return n, err
 }
 
 // begin marks the connection as carrying a call.
 func (c *guardedConn) begin() {
 	c.finish()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.headerStart = time.Time{}
 	c.busy.Store(true)
 	c.guard.inFlight.Add(1)
-	_ = c.SetReadDeadline(time.Time{})
 }
 
 // bound ends reads at the deadline of the call and writes soon after it.
@@ -143,6 +127,30 @@
 	return c.Conn.Close()
 }
 
+// watchInterval is the time between two looks at whether a caller has gone.
+const watchInterval = 10 * time.Millisecond
+
+// watch calls gone once the caller has closed its connection. It looks at the
+// socket from time to time and reads nothing, so that quick calls pay nothing.
+func (c *guardedConn) watch(gone func()) (stop func()) {
+	var timer *time.Timer
+	var stopped atomic.Bool
+	timer = time.AfterFunc(time.Hour, func() {
+		switch {
+		case stopped.Load():
+		case client.PeerClosed(c.Conn):
+			gone()
+		default:
+			timer.Reset(watchInterval)
+		}
+	})
+	timer.Reset(watchInterval)
+	return func() {
+		stopped.Store(true)
+		timer.Stop()
+	}
+}
+
 type connKey struct{}
 
 // withConn stores the accepted connection for the handler.
--- a/pkg/proxy/handle.go
+++ b/pkg/proxy/handle.go
@@ -120,9 +120,8 @@
 
 // serve reads the body, runs the call and writes its answer.
 func (s *shared) serve(ctx context.Context, rc *app.RequestContext, c *call, on side, run runner, maxBody int64) {
-	if conn := connOf(ctx); conn != nil {
-		conn.bound(c.deadline)
-	}
+	conn := connOf(ctx)
+	conn.bound(c.deadline)
 	c.readHeader(&rc.Request.Header)
 	if most := s.options.Settings.Inbound.MaxBodyBytes; most > 0 && (maxBody <= 0 || most < maxBody) {
 		maxBody = most
@@ -135,8 +134,8 @@
 		return
 	}
 	c.mark()
-	unwatch := senseCaller(rc, c)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	unwatch := conn.watch(cancel)
 	c.ctx = ctx
 	a, done := run(c)
 	s.metrics.took(on, c.class, time.Since(c.start))
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -52,7 +52,6 @@
 	l.hertz = server.New(
 		server.WithListener(l.guard),
 		server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
 		server.WithOnAccept(withConn),
 		server.WithStreamBody(true),
 		server.WithDisablePreParseMultipartForm(true),
--- a/pkg/proxy/shared.go
+++ b/pkg/proxy/shared.go
@@ -77,13 +77,13 @@
 	s.forwarder = &forwarder{
 		self:     s.options.Settings.Node.ID,
 		token:    token,
-		table:    newTable(s.members, s.options.Log, s.metrics),
 		receiver: s.receiver,
 		orders:   o,
 		metrics:  s.metrics,
 		log:      s.options.Log,
 		pools:    make(map[string]*client.Pool),
 	}
+	s.forwarder.table = newTable(s.members, s.forwarder.prune)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.following.Go(func() { s.forwarder.table.follow(ctx) })
--- a/pkg/proxy/table.go
+++ b/pkg/proxy/table.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/outlier"
@@ -22,8 +21,8 @@
 // with the membership.
 type table struct {
 	members membership.Source
-	log     *event.Log
-	metrics *Metrics
+	// moved is called after a new view has been read.
+	moved func(*membership.View)
 
 	mu      sync.RWMutex
 	view    *membership.View
@@ -40,8 +39,8 @@
 	budget    *retry.Budget
 }
 
-func newTable(members membership.Source, log *event.Log, m *Metrics) *table {
-	return &table{members: members, log: log, metrics: m, view: members.View(), entries: make(map[string]*entry)}
+func newTable(members membership.Source, moved func(*membership.View)) *table {
+	return &table{members: members, moved: moved, view: members.View(), entries: make(map[string]*entry)}
 }
 
 // follow keeps the table up to date until ctx ends.
@@ -80,6 +79,7 @@
 	for _, e := range entries {
 		e.replace(byService[e.service])
 	}
+	t.moved(view)
 }
 
 // entry returns the endpoints of a service.
@@ -214,26 +214,40 @@
 	verdictBad
 )
 
-// done takes in how a call ended at an endpoint and reports whether that
-// ejected it.
-func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, took time.Duration, now time.Time) bool {
+// change is what the end of a call changed about its endpoint.
+type change int
+
+const (
+	changeNone change = iota
+	changeEjected
+	changeBack
+)
+
+// done takes in how a call ended at an endpoint.
+func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, took time.Duration, now time.Time) change {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l, ok := parseLoad(load); ok {
 		p.State.Report(now, l.Running, l.Queued, l.Limit)
 	}
 	p.State.InFlight--
+	if v == verdictNone {
+		return changeNone
+	}
+	bad := p.State.Outlier.Record(now, v == verdictGood)
 	if v == verdictGood {
 		p.State.Took(took)
+		if p.State.Away && !p.State.Outlier.Ejected(now) {
+			p.State.Away = false
+			return changeBack
+		}
 	}
-	if v == verdictNone || !p.State.Outlier.Record(now, v == verdictGood) {
-		return false
-	}
-	if !outlier.Allowed(e.ejected(now), len(e.endpoints), c.ejected) {
-		return false
+	if !bad || !outlier.Allowed(e.ejected(now), len(e.endpoints), c.ejected) {
+		return changeNone
 	}
 	p.State.Outlier.Eject(now)
-	return true
+	p.State.Away = true
+	return changeEjected
 }
 
 // call adds one call's share to the retry budget.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -65,6 +65,8 @@
 	Outlier outlier.Endpoint
 	// InFlight is the number of this node's own calls.
 	InFlight int
+	// Away is set from an ejection to the first good answer after it.
+	Away bool
 
 	others     int // calls of other nodes at the time of the last answer
 	limit      int
--- a/pkg/upstream/instance.go
+++ b/pkg/upstream/instance.go
@@ -9,6 +9,7 @@
 	"github.com/qmuntal/stateless"
 
 	"github.com/tarragondrum/tarragondrum/pkg/admission"
+	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/proxy/client"
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
@@ -23,6 +24,7 @@
 // Instance is one upstream of this host: its state, its slots and its connections.
 type Instance struct {
 	pool *client.Pool
+	log  *event.Log
 	// waitingLimit returns the bound of a class's queue.
 	waitingLimit func(service string, c model.Class) int
 
@@ -43,8 +45,9 @@
 	health     health
 }
 
-func newInstance(u model.Upstream, waitingLimit func(string, model.Class) int) *Instance {
+func newInstance(u model.Upstream, log *event.Log, waitingLimit func(string, model.Class) int) *Instance {
 	i := &Instance{
+		log:          log,
 		pool:         client.NewPool(u.Address, max(u.Connections, u.Slots, 1)),
 		waitingLimit: waitingLimit,
 		announced:    u,
@@ -116,7 +119,7 @@
 	i.waiters[id] = granted
 	i.inFlight++
 	i.mu.Unlock()
-	return i.wait(ctx, id, class, deadline, granted)
+	return i.wait(ctx, id, class, d.LookAt, granted)
 }
 
 // refusal tells why the upstream takes no new calls, or nil. The caller holds mu.
@@ -134,19 +137,40 @@
 	return &Refusal{Reason: reason.UpstreamLeaving, RetryAfter: time.Second}
 }
 
-func (i *Instance) wait(ctx context.Context, id uint64, class model.Class, deadline time.Time, granted chan admission.Event) (*Slot, *Refusal) {
-	timer := time.NewTimer(time.Until(deadline))
+func (i *Instance) wait(ctx context.Context, id uint64, class model.Class, lookAt time.Time, granted chan admission.Event) (*Slot, *Refusal) {
+	timer := time.NewTimer(time.Until(lookAt))
 	defer timer.Stop()
-	refusal := &Refusal{Reason: reason.QueueTimeout, RetryAfter: time.Second}
-	select {
-	case e := <-granted:
-		return i.conclude(e, class)
-	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.Canceled) {
-			refusal = &Refusal{Reason: reason.CallerGone}
+	for {
+		select {
+		case e := <-granted:
+			return i.conclude(e, class)
+		case <-ctx.Done():
+			return i.giveUp(ctx, id, class, granted)
+		case <-timer.C:
+			timer.Reset(i.look(id))
 		}
-	case <-timer.C:
 	}
+}
+
+// look lets the queue refuse calls for which waiting is of no use, and returns
+// the time until the next look at the given one.
+func (i *Instance) look(id uint64) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	i.deliver(now)
+	next, waits := i.queue.LookAt(now, id)
+	if !waits {
+		return time.Hour // the end of the wait has been delivered
+	}
+	return max(next.Sub(now), minLook)
+}
+
+// minLook is the shortest time between two looks at a waiting call.
+const minLook = time.Millisecond
+
+// giveUp ends the wait of a call whose caller has gone or whose time is up.
+func (i *Instance) giveUp(ctx context.Context, id uint64, class model.Class, granted chan admission.Event) (*Slot, *Refusal) {
 	i.mu.Lock()
 	if !i.queue.Cancel(id) {
 		i.mu.Unlock()
@@ -156,7 +180,10 @@
 	i.leave()
 	i.deliver(time.Now())
 	i.mu.Unlock()
-	return nil, refusal
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, &Refusal{Reason: reason.CallerGone}
+	}
+	return nil, &Refusal{Reason: reason.QueueTimeout, RetryAfter: time.Second}
 }
 
 // conclude turns the end of a wait into a slot or a refusal.
@@ -173,7 +200,11 @@
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	before := i.queue.Load().Limit
 	i.queue.Done(now, s.class, now.Sub(s.start), o)
+	if after := i.queue.Load().Limit; after != before {
+		i.log.Emit(event.LimitChanged, event.F("upstream", i.announced.Name), event.F("from", before), event.F("to", after))
+	}
 	i.health.observe(o == admission.OutcomeOK)
 	i.leave()
 	i.deliver(now)
--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -213,7 +213,7 @@
 		old.renew(u)
 		return old, restarted, nil
 	}
-	i = newInstance(u, s.waiting)
+	i = newInstance(u, s.log, s.waiting)
 	i.machine = newMachine(func(from, to model.UpstreamState, why trigger) { s.changed(i, from, to, why) })
 	s.instances[u.Name] = i
 	s.log.Emit(event.UpstreamAnnounced, event.F("upstream", u.Name), event.F("service", u.Service), event.F("slots", u.Slots))
