--- a/pkg/cli/bundlesignoff.go
+++ b/pkg/cli/bundlesignoff.go
@@ -39,6 +39,9 @@
 		return env.exit(&usageError{err: err})
 	}
 	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
+		if s.keyring == nil {
+			_, _ = fmt.Fprintln(env.Stderr, "warning: without --settings it is not checked that the nodes trust this key")
+		}
 		a, err := c.signOff(ctx, s, key)
 		if err != nil {
 			return err
