--- a/pkg/cli/key.go
+++ b/pkg/cli/key.go
@@ -21,6 +21,7 @@
 
 type keyCmd struct {
 	Generate *keyGenerateCmd `arg:"subcommand:generate" help:"make a key pair for signing off bundles"`
+	Mesh     *keyMeshCmd     `arg:"subcommand:mesh" help:"make the certificates of nodes"`
 }
 
 type keyGenerateCmd struct {
--- a/pkg/localmesh/localmesh.go
+++ b/pkg/localmesh/localmesh.go
@@ -222,6 +222,7 @@
 		Platform: settings.Platform{URL: m.Platform.URL(), Mesh: m.options.Deployment.Name, Timeout: bundle.Duration(platformCall)},
 		Mesh: settings.Mesh{
 			Address:       m.address(dc, host, meshPort),
+			Contacts:      m.contacts(),
 			ProbeInterval: bundle.Duration(probeInterval),
 		},
 		Inbound:   settings.Inbound{Address: m.address(dc, host, inboundPort), HeaderTimeout: bundle.Duration(headerTimeout)},
@@ -242,6 +243,21 @@
 	return s
 }
 
+// contacts returns the mesh addresses of the first host of each data centre.
+func (m *Mesh) contacts() []string {
+	var list []string
+	seen := make(map[model.DataCentre]bool)
+	for index, i := range m.options.Deployment.Instances() {
+		if seen[i.DataCentre] {
+			continue
+		}
+		seen[i.DataCentre] = true
+		dc := byte(1 + m.dataCentreIndex(i.DataCentre))
+		list = append(list, m.address(dc, byte(1+index), meshPort))
+	}
+	return list
+}
+
 func (m *Mesh) dataCentreIndex(dc model.DataCentre) int {
 	for i, name := range m.options.Deployment.DataCentres {
 		if name == dc {
--- a/pkg/pki/pki.go
+++ b/pkg/pki/pki.go
@@ -7,6 +7,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -72,6 +73,35 @@
 // CertificatePEM returns the authority's certificate.
 func (a *Authority) CertificatePEM() []byte { return encodeCertificate(a.cert.Raw) }
 
+// WriteFiles writes the authority's certificate and private key.
+func (a *Authority) WriteFiles(certFile, keyFile string) error {
+	raw, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return fmt.Errorf("encode authority key: %w", err)
+	}
+	if err := os.WriteFile(keyFile, encodeKey(raw), keyMode); err != nil {
+		return fmt.Errorf("write authority key: %w", err)
+	}
+	if err := os.WriteFile(certFile, a.CertificatePEM(), certMode); err != nil {
+		return fmt.Errorf("write authority certificate: %w", err)
+	}
+	return nil
+}
+
+// ReadAuthority reads an authority that WriteFiles wrote. It returns
+// ErrNoAuthority if the files hold none.
+func ReadAuthority(certFile, keyFile string) (*Authority, error) {
+	pair, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !pair.Leaf.IsCA {
+		return nil, fmt.Errorf("%q: %w", certFile, ErrNoAuthority)
+	}
+	return &Authority{cert: pair.Leaf, key: key}, nil
+}
+
 // Issue returns a certificate and private key in PEM for a node.
 func (a *Authority) Issue(id model.NodeID, now time.Time, validity time.Duration) (cert, key []byte, err error) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -94,7 +124,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("encode key of node %q: %w", id, err)
 	}
-	return encodeCertificate(der), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}), nil
+	return encodeCertificate(der), encodeKey(raw), nil
 }
 
 // IssueFiles writes the certificate and key of a node into dir and returns
@@ -148,6 +178,10 @@
 	}, nil
 }
 
+func encodeKey(pkcs8 []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8})
+}
+
 func encodeCertificate(der []byte) []byte {
 	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
 }
