--- a/pkg/gossip/gateway.go
+++ b/pkg/gossip/gateway.go
@@ -23,6 +23,7 @@
 		targets := s.centreTargets()
 		s.mu.Unlock()
 		if !lead {
+			s.forgetFailures()
 			s.setUnreachable(nil)
 			continue
 		}
@@ -74,11 +75,15 @@
 	s.centreFail[dc]++
 }
 
+// forgetFailures ends the judgement of a node that is no longer a lead.
+func (s *Service) forgetFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.centreFail)
+}
+
 func (s *Service) setUnreachable(centres []model.DataCentre) {
 	s.mu.Lock()
-	if centres == nil {
-		clear(s.centreFail)
-	}
 	own, changed := s.table.SetUnreachable(centres)
 	if changed {
 		s.touch()
--- a/pkg/mesh/memory/memory.go
+++ b/pkg/mesh/memory/memory.go
@@ -143,32 +143,30 @@
 	return codec.Result(&e, reply)
 }
 
-// exchange runs the peer's handler and waits for its answer, or until either
-// side ends.
+// exchange runs the peer's handler and waits for its answer, or until the
+// caller's time is over or either side stops.
 func (t *Transport) exchange(ctx context.Context, peer *Transport, data []byte) ([]byte, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	answers := make(chan []byte, 1)
+	handlerCtx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(peer.ctx, cancel)
+	answers := make(chan []byte, 1)
 	go func() {
 		defer cancel()
 		defer stop()
-		answers <- peer.serve(ctx, t.self, data)
+		answers <- peer.serve(handlerCtx, t.self, data)
 	}()
+	var answer []byte
 	select {
-	case answer := <-answers:
-		if peer.ctx.Err() != nil {
-			return nil, fmt.Errorf("peer stopped: %w", mesh.ErrTimeout)
-		}
-		return answer, nil
+	case answer = <-answers:
 	case <-ctx.Done():
+	case <-peer.ctx.Done():
 	case <-t.ctx.Done():
+		cancel()
 	}
-	select {
-	case answer := <-answers: // the handler ended at the same moment
-		return answer, nil
-	default:
-		return nil, fmt.Errorf("%w: %w", mesh.ErrTimeout, context.Cause(ctx))
+	// An answer that comes at the very end of the caller's time is late.
+	if answer == nil || ctx.Err() != nil || peer.ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", mesh.ErrTimeout, context.Cause(handlerCtx))
 	}
+	return answer, nil
 }
 
 // serve handles one encoded request and returns the encoded reply.
