Refuse invalid bundles at sign-off

Cause: the sign-off relied on prepare having checked the content; a bundle stored by other means, or an older one under newer rules, was not checked again.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -195,3 +195,12 @@
 		}
 	})
 }
+
+func TestCheckTellsTheFirstFaults(t *testing.T) {
+	is := is.New(t)
+	good := bundletest.Valid("desk")
+	is.NoErr(bundle.Check(&good))
+	err := bundle.Check(&bundle.Bundle{})
+	is.True(errors.Is(err, bundle.ErrInvalid))
+	is.True(strings.Contains(err.Error(), "1 in all, such as services: bundle has no services"))
+}
--- a/pkg/bundle/bundletest/bundletest.go
+++ b/pkg/bundle/bundletest/bundletest.go
@@ -27,6 +27,16 @@
 	})
 }
 
+// Valid returns a small bundle that passes every check: one service of the given
+// name and a route to it.
+func Valid(service string) bundle.Bundle {
+	timeout := bundle.Duration(time.Second)
+	return bundle.Bundle{
+		Services: []bundle.Service{{Name: service, Timeout: timeout}},
+		Routes:   []bundle.Route{{Name: service, PathPrefix: "/", Service: service, Class: model.ClassBatch, Attempts: 1}},
+	}
+}
+
 func name() *rapid.Generator[string] { return rapid.StringMatching(`[a-d]{1,3}`) }
 
 func duration() *rapid.Generator[bundle.Duration] {
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -26,6 +26,7 @@
 	maxWarmup         = time.Hour
 	percent           = 100
 	maxFaultsReported = 200
+	maxFaultsInError  = 3
 )
 
 // The first part of a fault's key tells which kind of object it is in. The key
@@ -65,6 +66,19 @@
 	return v.faults
 }
 
+// Check is Validate as an error: it returns ErrInvalid with the first faults.
+func Check(b *Bundle) error {
+	faults := Validate(b)
+	if len(faults) == 0 {
+		return nil
+	}
+	var text []string
+	for _, f := range faults[:min(len(faults), maxFaultsInError)] {
+		text = append(text, f.Key+": "+f.Message)
+	}
+	return fmt.Errorf("%w: %d in all, such as %s", ErrInvalid, len(faults), strings.Join(text, "; "))
+}
+
 type validator struct {
 	services map[string]bool
 	faults   []Fault
--- a/pkg/cli/bundleprepare.go
+++ b/pkg/cli/bundleprepare.go
@@ -88,6 +88,9 @@
 			if _, b, err = s.load(ctx, fmt.Sprintf("v%d", c.FromVersion)); err != nil {
 				return err
 			}
+			if err := bundle.Check(&b); err != nil {
+				return &usageError{err: err}
+			}
 		}
 		report, err := c.prepare(ctx, s, &b)
 		if err != nil {
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
-	if _, err := bundlestore.Load(ctx, store, r.Bundle); err != nil {
+	if err := check(ctx, store, r.Bundle); err != nil {
 		settle(ctx, store, &a, false)
 		return bundle.Acceptance{}, err
 	}
@@ -117,6 +117,18 @@
 	return a, err
 }
 
+// check reads the whole bundle and applies the rules that nodes apply.
+func check(ctx context.Context, store platform.Store, id bundle.ID) error {
+	b, err := bundlestore.Load(ctx, store, id)
+	if err != nil {
+		return err
+	}
+	if err := bundle.Check(&b); err != nil {
+		return fmt.Errorf("bundle %.12s: %w", id, err)
+	}
+	return nil
+}
+
 // settle tidies the bundle's state; readers find out without it.
 func settle(ctx context.Context, store platform.Store, a *bundle.Acceptance, won bool) {
 	_ = bundlestore.Settle(ctx, store, a.Bundle, a.Version, won)
--- a/pkg/signoff/signoff_test.go
+++ b/pkg/signoff/signoff_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
@@ -23,7 +24,7 @@
 // prepare stores a bundle with one service of the given name.
 func prepare(t *testing.T, store platform.Store, service string) bundle.ID {
 	t.Helper()
-	b := bundle.Bundle{Services: []bundle.Service{{Name: service}}}
+	b := bundletest.Valid(service)
 	id, err := bundlestore.Save(t.Context(), store, &b, bundlestore.Meta{Preparer: "ioana"})
 	is.New(t).NoErr(err)
 	return id
@@ -213,6 +214,12 @@
 	_, err := signoff.Accept(t.Context(), store, request("absent", 0, "ioana"))
 	is.True(errors.Is(err, bundlestore.ErrNotPrepared))
 
+	bad := bundle.Bundle{Services: []bundle.Service{{Name: "no timeout"}}}
+	badID, err := bundlestore.Save(t.Context(), store, &bad, bundlestore.Meta{})
+	is.NoErr(err)
+	_, err = signoff.Accept(t.Context(), store, request(badID, 0, "ioana"))
+	is.True(errors.Is(err, bundle.ErrInvalid))
+
 	r := request(id, 0, "ioana")
 	r.Keyring = bundle.NewKeyring()
 	_, err = signoff.Accept(t.Context(), store, r)
