Judge slow answers by their usual mean, not by their fastest window

Cause: the limit took the fastest window of each class as its usual service time. With few calls of a class in a window that is far under the mean, so an honest upstream under mixed load looked overloaded and its limit fell to a quarter of its slots. Change: the usual time is a moving mean of windows in which slots were free. Orders read their owner again when it has no upstream any more.

--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -33,9 +33,10 @@
 	maxSlowdown = 2.5
 	shedFactor  = 0.8
 	slowFactor  = 0.9
-	// baselineRise is the share by which a usual service time follows a slower
-	// window in which slots were free; it follows a faster one at once.
-	baselineRise = 0.02
+	// usualWeight is the weight of a window in which slots were free in the usual
+	// service time, and usualCalls the calls of a class that a window must have.
+	usualWeight = 0.1
+	usualCalls  = 5
 	// slowFloor is the divisor of the slots under which slow answers alone do not
 	// push the limit.
 	slowFloor = 4
@@ -58,8 +59,9 @@
 	ceiling int
 	current int
 
-	window   window
-	baseline [numClasses]time.Duration
+	window window
+	// usual is the mean service time of each class while slots were free.
+	usual [numClasses]time.Duration
 
 	probing  bool
 	before   float64 // calls a second before the step
@@ -170,22 +172,19 @@
 // answers say nothing about the usual value.
 func (l *Limit) slowdown(busy bool) float64 {
 	var seen, usual time.Duration
-	for c := range l.baseline {
-		n := l.window.ok[c]
-		if n == 0 {
+	for c, n := range l.window.ok {
+		if n < usualCalls {
 			continue
 		}
 		mean := l.window.took[c] / time.Duration(n)
-		base := l.baseline[c]
-		if base == 0 || mean < base {
-			base = mean
+		switch {
+		case l.usual[c] == 0:
+			l.usual[c] = mean
+		case !busy:
+			l.usual[c] += time.Duration(usualWeight * float64(mean-l.usual[c]))
 		}
 		seen += l.window.took[c]
-		usual += base * time.Duration(n)
-		if !busy {
-			base += time.Duration(baselineRise * float64(mean-base))
-		}
-		l.baseline[c] = base
+		usual += l.usual[c] * time.Duration(n)
 	}
 	if usual == 0 {
 		return 1
--- a/pkg/proxy/forwarder.go
+++ b/pkg/proxy/forwarder.go
@@ -90,14 +90,19 @@
 	return nil, &a
 }
 
+// placeOrder returns the endpoint on the node that owns the order's key. When
+// that node has no upstream any more, the owners are read once again.
 func (f *forwarder) placeOrder(c *call, e *entry) (*routing.Endpoint, *answer) {
-	place := f.orders.ledger.Locate(c.service, c.key)
-	if place.Node == "" {
-		a := refuseAs(place.Reason, place.Effect, place.RetryAfter)
-		return nil, &a
-	}
-	if p := e.onNode(place.Node); p != nil {
-		return p, nil
+	for range 2 {
+		place := f.orders.ledger.Locate(c.service, c.key)
+		if place.Node == "" {
+			a := refuseAs(place.Reason, place.Effect, place.RetryAfter)
+			return nil, &a
+		}
+		if p := e.onNode(place.Node); p != nil {
+			return p, nil
+		}
+		f.orders.ledger.Moved(c.service)
 	}
 	a := refuse(reason.NoUpstream)
 	return nil, &a
--- a/pkg/proxy/order_test.go
+++ b/pkg/proxy/order_test.go
@@ -22,9 +22,10 @@
 
 // ledger is a ledger whose orders are all owned by one node.
 type ledger struct {
-	owner model.NodeID
+	successor model.NodeID
 
 	mu      sync.Mutex
+	owner   model.NodeID
 	stored  map[string]order.Outcome
 	started map[string]bool
 	events  []string
@@ -38,8 +39,22 @@
 func (l *ledger) Needs() []string                             { return nil }
 func (l *ledger) Start(context.Context, *kernel.Kernel) error { return nil }
 func (l *ledger) Stop(context.Context) error                  { return nil }
-func (l *ledger) Moved(string)                                { l.note("moved") }
-func (l *ledger) Locate(string, string) order.Place           { return order.Place{Node: l.owner} }
+
+// Moved makes the successor the owner.
+func (l *ledger) Moved(string) {
+	l.note("moved")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.successor != "" {
+		l.owner = l.successor
+	}
+}
+
+func (l *ledger) Locate(string, string) order.Place {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return order.Place{Node: l.owner}
+}
 
 func (l *ledger) Begin(_ context.Context, r order.Request) order.Decision {
 	l.mu.Lock()
@@ -188,3 +203,17 @@
 	is.Equal(do(t, "POST", near.url("/orders"), "x", key, "k2").effect(), "unknown")
 	is.True(l.seen("lost"))
 }
+
+// Orders follow their keys when the owner has no upstream any more.
+func TestOrderFollowsItsKey(t *testing.T) {
+	is := is.New(t)
+	near, far, l := owned(t)
+	l.successor = "a"
+	far.serve(t, "catalogue", "old", http.HandlerFunc(echo))
+	near.serve(t, "catalogue", "new", http.HandlerFunc(echo))
+	settle(t, near, 2)
+	is.NoErr(far.upstreams.Drain(t.Context(), "old"))
+	settle(t, near, 1)
+	is.Equal(do(t, "POST", near.url("/orders"), "x", key, "k1").status, 200)
+	is.True(l.seen("moved"))
+}
--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -76,7 +76,7 @@
 // New returns the service. The bundles in holder bound the queues and say how
 // to probe.
 func New(s settings.Settings, holder *snapshot.Holder, log *event.Log, registry *metric.Registry) *Service {
-	return &Service{
+	svc := &Service{
 		settings:  s,
 		holder:    holder,
 		log:       log,
@@ -84,6 +84,8 @@
 		probes:    metric.Counter(registry, "upstream_probes_total", "Health probes of this host's upstreams.", "result"),
 		instances: make(map[string]*Instance),
 	}
+	registry.MustRegister(newCollector(svc))
+	return svc
 }
 
 // Name returns ServiceName.
--- a/pkg/upstream/service_test.go
+++ b/pkg/upstream/service_test.go
@@ -93,6 +93,32 @@
 	t.Fatal("never happened: " + what)
 }
 
+// The load of an upstream is reported as metrics.
+func TestLoadIsMeasured(t *testing.T) {
+	is := is.New(t)
+	registry := metric.NewRegistry()
+	svc := upstream.New(settings.Settings{}, &snapshot.Holder{}, event.Discard(), registry)
+	k := kernel.New()
+	is.NoErr(k.Register(svc, &peers{}))
+	is.NoErr(k.Start(t.Context(), time.Second))
+	defer func() { _ = k.Stop(time.Second) }()
+	is.NoErr(svc.Announce(announcement("127.0.0.1:1")))
+	i, err := svc.Find("s", "u")
+	is.NoErr(err)
+	slot, _ := i.Acquire(t.Context(), model.ClassOrder, time.Now().Add(time.Minute))
+	families, err := registry.Gather()
+	is.NoErr(err)
+	got := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			got[f.GetName()] = m.GetGauge().GetValue()
+		}
+	}
+	is.Equal(got["tarragondrum_upstream_running_calls"], 1.0)
+	is.Equal(got["tarragondrum_upstream_limit_calls"], 1.0)
+	slot.Done(admission.OutcomeOK)
+}
+
 func TestBadAnnouncementsAreRefused(t *testing.T) {
 	svc, _ := start(t, bundle.Bundle{})
 	for _, change := range []func(*model.Upstream){
