--- a/pkg/gossip/join.go
+++ b/pkg/gossip/join.go
@@ -115,6 +115,7 @@
 			continue
 		}
 		if reply.RetryAfterMillis == 0 {
+			s.adoptSuspects(reply.Suspects)
 			s.learn([]membership.Entry{reply.Self})
 			s.fetchState(append(reply.Peers, mesh.Peer{ID: reply.Self.Record.ID, Addr: reply.Self.Record.MeshAddr}))
 			return true
@@ -146,6 +147,17 @@
 	return reply, nil
 }
 
+// adoptSuspects puts the suspects of the former process of this node into its
+// record, unless this process has told some already.
+func (s *Service) adoptSuspects(former []membership.Suspect) {
+	s.mu.Lock()
+	own := s.table.Self().Record.Suspects
+	s.mu.Unlock()
+	if len(former) > 0 && len(own) == 0 {
+		s.SetSuspects(former)
+	}
+}
+
 // fetchState exchanges with random peers until one has an equal table.
 func (s *Service) fetchState(peers []mesh.Peer) {
 	for range maxSyncRounds {
@@ -192,6 +204,9 @@
 		Self:  s.table.Self(),
 		Peers: s.table.RandomPeers(membership.MaxJoinPeers, request.Record.DataCentre, request.Record.ID),
 	}
+	if former, ok := s.table.Get(request.Record.ID); ok {
+		reply.Suspects = former.Record.Suspects
+	}
 	if len(reply.Peers) == 0 {
 		reply.Peers = s.table.RandomPeers(membership.MaxJoinPeers, "", request.Record.ID)
 	}
--- a/pkg/membership/messages.go
+++ b/pkg/membership/messages.go
@@ -65,6 +65,9 @@
 	RetryAfterMillis uint32      `cbor:"1,keyasint,omitempty"`
 	Self             Entry       `cbor:"2,keyasint"`
 	Peers            []mesh.Peer `cbor:"3,keyasint,omitempty"`
+	// Suspects are those that the joiner's former process told, which a process
+	// that starts again has forgotten.
+	Suspects []Suspect `cbor:"4,keyasint,omitempty"`
 }
 
 // Stage tells how far an update has travelled.
@@ -126,6 +129,9 @@
 	if len(r.Peers) > MaxJoinPeers {
 		return fmt.Errorf("join reply has %d peers: %w", len(r.Peers), ErrInvalid)
 	}
+	if len(r.Suspects) > maxSuspects {
+		return fmt.Errorf("join reply has %d suspects: %w", len(r.Suspects), ErrInvalid)
+	}
 	for _, p := range r.Peers {
 		if err := validatePeer(p); err != nil {
 			return err
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -188,6 +188,16 @@
 	return changed
 }
 
+// Adopt takes over suspects that a former process of this node told of.
+func (t *Tracker) Adopt(former []membership.Suspect) {
+	for _, s := range former {
+		if _, known := t.suspects[s.Fingerprint]; !known {
+			t.suspects[s.Fingerprint] = &s
+		}
+	}
+	t.evict()
+}
+
 // Lift clears a fingerprint on every node.
 func (t *Tracker) Lift(now time.Time, fingerprint uint64) {
 	t.suspects[fingerprint] = &membership.Suspect{Fingerprint: fingerprint, AtUnix: now.Unix(), Lifted: true}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -38,6 +38,9 @@
 	mu      sync.Mutex
 	tracker *poison.Tracker
 	entries []poison.Entry
+	// told is set once this process has told of suspects; before, its record may
+	// hold those of a former process.
+	told bool
 }
 
 // New returns the service.
@@ -107,12 +110,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.told {
+		s.tracker.Adopt(v.Members[v.Self].Suspects)
+	}
 	tell := s.tracker.Observe(now, others)
 	tell = s.tracker.Expire(now) || tell
 	own := s.tracker.Suspects()
 	s.entries = poison.Judge(now, append(others, own...))
 	s.publish()
 	if tell {
+		s.told = true
 		s.source.SetSuspects(own)
 	}
 }
@@ -153,6 +160,7 @@
 	own := s.tracker.Suspects
 	var suspects []membership.Suspect
 	if tell {
+		s.told = true
 		suspects = own()
 	}
 	s.mu.Unlock()
@@ -181,6 +189,7 @@
 func (s *Service) Lift(fingerprint uint64, by string) {
 	s.mu.Lock()
 	s.tracker.Lift(time.Now(), fingerprint)
+	s.told = true
 	suspects := s.tracker.Suspects()
 	s.mu.Unlock()
 	s.log.Emit(event.PoisonLifted, event.F("fingerprint", fingerprint), event.F("by", by))
