--- a/pkg/history/history.go
+++ b/pkg/history/history.go
@@ -14,6 +14,7 @@
 type Attempt struct {
 	// ID is unique among all attempts and reaches the upstream with the call.
 	ID string
+	// Calls other than orders have neither key nor intent.
 	// Key is the Idempotency-Key; Intent is what the caller wants done once. A
 	// caller uses a second key for an intent only if every attempt with the
 	// first one was answered not run.
@@ -26,7 +27,7 @@
 	Body string
 }
 
-// Run is one execution of an attempt on an upstream.
+// Run is one execution of an attempt on an upstream, whole or begun.
 type Run struct {
 	Attempt string
 	Key     string
@@ -97,9 +98,11 @@
 	byAttempt := make(map[string]bool)
 	count := make(map[string]int)
 	for _, run := range h.runs {
-		byKey[run.Key] = run
 		byAttempt[run.Attempt] = true
-		count[run.Key]++
+		if run.Key != "" {
+			byKey[run.Key] = run
+			count[run.Key]++
+		}
 	}
 	for key, n := range count {
 		if n > 1 {
@@ -109,6 +112,9 @@
 	keys := make(map[string]map[string]bool)
 	for _, a := range h.attempts {
 		r.checkAttempt(a, byKey, byAttempt)
+		if a.Key == "" {
+			continue
+		}
 		if keys[a.Intent] == nil {
 			keys[a.Intent] = make(map[string]bool)
 		}
@@ -131,6 +137,7 @@
 	switch {
 	case a.Effect == reason.NotRun && byAttempt[a.ID]:
 		r.fault(&r.NotRunRan, "attempt %q of key %q was answered not run and ran", a.ID, a.Key)
+	case a.Key == "":
 	case a.Effect == reason.Run && !ran:
 		r.fault(&r.RunMissing, "attempt %q of key %q was answered run and never ran", a.ID, a.Key)
 	case a.Effect == reason.Run && a.Body != "" && a.Body != run.Body:
--- a/pkg/history/history_test.go
+++ b/pkg/history/history_test.go
@@ -16,6 +16,9 @@
 	h.Ran(history.Run{Attempt: "2", Key: "k", Body: "ok"})
 	h.Answered(history.Attempt{ID: "2", Key: "k", Intent: "i", Effect: reason.Unknown})
 	h.Answered(history.Attempt{ID: "3", Key: "k", Intent: "i", Effect: reason.Run, Body: "ok"})
+	h.Answered(history.Attempt{ID: "4", Effect: reason.Run, Body: "page"})
+	h.Ran(history.Run{Attempt: "5"})
+	h.Ran(history.Run{Attempt: "6"})
 	is.True(!h.Check().Broken())
 }
 
@@ -30,6 +33,7 @@
 	}{
 		{"twice", nil, []history.Run{run, {Attempt: "2", Key: "k"}}, func(r history.Report) int { return r.RunTwice }},
 		{"not run", []history.Attempt{{ID: "1", Key: "k", Effect: reason.NotRun}}, []history.Run{run}, func(r history.Report) int { return r.NotRunRan }},
+		{"not run, no key", []history.Attempt{{ID: "1", Effect: reason.NotRun}}, []history.Run{{Attempt: "1"}}, func(r history.Report) int { return r.NotRunRan }},
 		{"intent", []history.Attempt{{ID: "1", Key: "k", Intent: "i", Effect: reason.Unknown}, {ID: "2", Key: "l", Intent: "i", Effect: reason.Run}},
 			[]history.Run{run, {Attempt: "2", Key: "l"}}, func(r history.Report) int { return r.IntentTwice }},
 		{"missing", []history.Attempt{{ID: "1", Key: "k", Effect: reason.Run}}, nil, func(r history.Report) int { return r.RunMissing }},
--- a/pkg/ledger/claims.go
+++ b/pkg/ledger/claims.go
@@ -38,6 +38,7 @@
 	// running tells that a commit loop is at work.
 	running bool
 	last    time.Time
+	outage  backoff
 	// unused holds keys that are, or may be, claimed for this node and that have
 	// certainly not run.
 	unused map[order.ID]struct{}
@@ -133,6 +134,16 @@
 
 // commit claims the keys of a batch by a conditional update of the object.
 func (s *Service) commit(a *claimant, batch []*claim) {
+	s.mu.Lock()
+	ready := a.outage.ready(time.Now())
+	s.mu.Unlock()
+	if !ready {
+		for _, c := range batch {
+			c.err = platform.ErrUnavailable
+			close(c.done)
+		}
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*platformTimeout)
 	defer cancel()
 	uncertain := false
@@ -145,6 +156,9 @@
 			break
 		}
 	}
+	s.mu.Lock()
+	a.outage.note(time.Now(), err)
+	s.mu.Unlock()
 	for _, c := range batch {
 		if c.owner.Node == "" && c.err == nil {
 			c.err, c.uncertain = err, uncertain
--- a/pkg/ledger/failure_test.go
+++ b/pkg/ledger/failure_test.go
@@ -292,6 +292,7 @@
 		is.Equal(down.effect, reason.NotRun)
 		is.Equal(down.reason, reason.PlatformDown)
 		c.store.SetDown(false)
+		time.Sleep(5 * time.Second) // The Retry-After of the refusal.
 		is.True(c.send("a", "invoice 19").ran)
 		c.check()
 	})
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// cutDelay is how far in the future a stopping owner ends its ranges, so that
-	// both owners are known before the first key of the successor is born.
-	cutDelay = time.Second
+	// cutDelay is how far in the future an owner ends its ranges, so that the
+	// successor is known before its first key is born.
+	cutDelay = 100 * time.Millisecond
 	// transferAttempts bounds the sending of one part of the records.
 	transferAttempts = 3
 	// transferBytes and transferRecords bound one part.
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -51,8 +51,9 @@
 	// to the service. Owners are recorded for these in advance, and for any other
 	// service at its first order. Nil means that none is known.
 	TakesOrders func(service string) bool
-	Lookahead   order.Lookahead
-	Limits      order.Limits
+	// Lookahead and Limits are the defaults of package order if they are zero.
+	Lookahead order.Lookahead
+	Limits    order.Limits
 }
 
 // Service implements order.Ledger. It needs "platform" and "membership".
@@ -89,6 +90,8 @@
 	stale   bool
 	checked time.Time
 	cut     bool
+	// outage is the state of the platform for this service's owners.
+	outage backoff
 	// writing serialises updates of the object, fetching those of the cache.
 	writing  chan struct{}
 	fetching chan struct{}
@@ -102,6 +105,12 @@
 
 // New returns the service and registers its handlers on the transport.
 func New(opts Options) *Service {
+	if opts.Lookahead == (order.Lookahead{}) {
+		opts.Lookahead = order.DefaultLookahead()
+	}
+	if opts.Limits == (order.Limits{}) {
+		opts.Limits = order.DefaultLimits()
+	}
 	self := opts.Transport.Self()
 	s := &Service{
 		opts:      opts,
@@ -191,7 +200,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.count(s.service(r.Service).book.Begin(order.BirthOf(time.Now()), k, r.Digest))
+	svc := s.service(r.Service)
+	d := svc.book.Begin(order.BirthOf(time.Now()), k, r.Digest)
+	if d.Reason == reason.KeyUnowned && svc.outage.failing() && svc.lapsed(k, s.self) {
+		d.Reason, d.RetryAfter = reason.PlatformDown, retryPlatform
+	}
+	return s.count(d)
+}
+
+// lapsed reports whether key k would belong to owner o if it could extend its
+// range.
+func (svc *service) lapsed(k order.Key, o order.Owner) bool {
+	if svc.table.Version == 0 {
+		return false
+	}
+	last := svc.table.Last(k.Shard)
+	return last.Owner == o && k.Birth >= last.Until
 }
 
 // Finish implements order.Ledger.
--- a/pkg/ledger/locate.go
+++ b/pkg/ledger/locate.go
@@ -13,7 +13,7 @@
 	// cacheAge is the age at which a cached table is read again from a peer.
 	cacheAge = time.Minute
 	// minFetchInterval bounds how often a stale table is read again.
-	minFetchInterval = 200 * time.Millisecond
+	minFetchInterval = 50 * time.Millisecond
 	// fetchPeers is the number of peers asked for a table.
 	fetchPeers = 3
 	// retryNoTable is when callers come back while no owners are known.
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -23,6 +23,8 @@
 	Table *order.Table `cbor:"1,keyasint,omitempty"`
 	// Takers are the owners that can be given further shards.
 	Takers []order.Owner `cbor:"2,keyasint"`
+	// Down tells that the steward cannot write to the platform.
+	Down bool `cbor:"3,keyasint,omitempty"`
 }
 
 // transferRequest hands records over, or tells of a confirmed table, or both.
--- a/pkg/ledger/steward.go
+++ b/pkg/ledger/steward.go
@@ -131,6 +131,11 @@
 	svc := s.service(name)
 	svc.checked = time.Now()
 	svc.takers = reply.Takers
+	if !reply.Down {
+		svc.outage.note(time.Now(), nil)
+	} else if !svc.outage.failing() {
+		svc.outage.note(time.Now(), errStewardDown)
+	}
 	if reply.Table != nil {
 		s.adopt(svc, *reply.Table, "")
 	}
@@ -158,7 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(req.Service)
-	reply := pollReply{Takers: s.alive(svc, true)}
+	reply := pollReply{Takers: s.alive(svc, true), Down: svc.outage.failing()}
 	if svc.table.Version > req.Known {
 		t := svc.table
 		reply.Table = &t
@@ -201,9 +206,17 @@
 	s.mu.Lock()
 	svc := s.service(name)
 	svc.takers = s.alive(svc, true)
+	ready := svc.outage.ready(time.Now())
 	s.mu.Unlock()
+	if !ready {
+		return
+	}
 	create := s.opts.TakesOrders != nil && s.opts.TakesOrders(name)
-	if err := s.extend(ctx, svc, create); err != nil {
+	err := s.extend(ctx, svc, create)
+	s.mu.Lock()
+	svc.outage.note(time.Now(), err)
+	s.mu.Unlock()
+	if err != nil {
 		s.opts.Log.Emit(event.OrderWriteFailed, event.F("service", name), event.F("error", err))
 	}
 }
