--- a/pkg/proxy/fault_test.go
+++ b/pkg/proxy/fault_test.go
@@ -478,3 +478,22 @@
 	is.True(strings.Contains(string(all), "GET /next"))
 	is.True(!strings.Contains(string(all), "GET /inner"))
 }
+
+// An upstream that answers its probes but fails its calls is ejected by them,
+// and the good one carries the load.
+func TestUpstreamThatFailsCallsIsEjected(t *testing.T) {
+	is := is.New(t)
+	near, far := two(t)
+	far.serve(t, "catalogue", "bad", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }))
+	near.serve(t, "catalogue", "good", http.HandlerFunc(echo))
+	settle(t, near, 2)
+	failed := 0
+	for range 200 {
+		if do(t, "POST", near.url("/shades"), "x").status != 200 {
+			failed++
+		}
+	}
+	is.True(failed <= 5) // as many as eject it
+	is.Equal(near.counted(t, "endpoint_ejections_total", "catalogue"), 1.0)
+	is.Equal(far.upstreams.List()[0].State, model.UpstreamRunning)
+}
--- a/pkg/proxy/table.go
+++ b/pkg/proxy/table.go
@@ -14,8 +14,13 @@
 	"github.com/tarragondrum/tarragondrum/pkg/routing"
 )
 
-// minRebuild is the shortest time between two readings of the membership.
-const minRebuild = 10 * time.Millisecond
+const (
+	// minRebuild is the shortest time between two readings of the membership.
+	minRebuild = 10 * time.Millisecond
+	// rebuildRest is the rest after a reading, in times of its own length, so that
+	// churn in a large mesh costs at most a twentieth of a core.
+	rebuildRest = 20
+)
 
 // table keeps the endpoints of the services that this node calls, up to date
 // with the membership.
@@ -47,7 +52,9 @@
 func (t *table) follow(ctx context.Context) {
 	for {
 		changed := t.members.Changed()
+		start := time.Now()
 		t.update()
+		rest := max(minRebuild, rebuildRest*time.Since(start))
 		select {
 		case <-ctx.Done():
 			return
@@ -56,7 +63,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(minRebuild):
+		case <-time.After(rest):
 		}
 	}
 }
@@ -75,9 +82,13 @@
 		entries = append(entries, e)
 	}
 	t.mu.Unlock()
-	byService := endpointsOf(view)
+	wanted := make(map[string][]*routing.Endpoint, len(entries))
+	for _, e := range entries {
+		wanted[e.service] = nil
+	}
+	readEndpoints(view, wanted)
 	for _, e := range entries {
-		e.replace(byService[e.service])
+		e.replace(wanted[e.service])
 	}
 	t.moved(view)
 }
@@ -96,24 +107,27 @@
 		return e
 	}
 	e = &entry{service: service, budget: retry.NewBudget(), chooser: routing.Chooser{Policy: routing.TwoChoices}}
-	e.replace(endpointsOf(t.view)[service])
+	wanted := map[string][]*routing.Endpoint{service: nil}
+	readEndpoints(t.view, wanted)
+	e.replace(wanted[service])
 	t.entries[service] = e
 	return e
 }
 
-// endpointsOf returns the endpoints of a view that may get calls, by service.
-func endpointsOf(v *membership.View) map[string][]*routing.Endpoint {
+// readEndpoints adds to each service in wanted the endpoints that may get calls.
+func readEndpoints(v *membership.View, wanted map[string][]*routing.Endpoint) {
 	self := v.Members[v.Self]
-	out := make(map[string][]*routing.Endpoint)
 	for _, m := range v.Members {
 		if m.Stopping || m.Status == membership.StatusFailed || m.Status == membership.StatusLeft {
 			continue
 		}
-		for _, u := range m.Upstreams {
-			if u.State != model.UpstreamRunning {
+		for i := range m.Upstreams {
+			u := &m.Upstreams[i]
+			list, ok := wanted[u.Service]
+			if !ok || u.State != model.UpstreamRunning {
 				continue
 			}
-			out[u.Service] = append(out[u.Service], &routing.Endpoint{
+			wanted[u.Service] = append(list, &routing.Endpoint{
 				Key:      routing.Key{Node: m.ID, Upstream: u.Name},
 				Address:  m.InboundAddr,
 				Tier:     tierOf(self, m),
@@ -124,7 +138,6 @@
 			})
 		}
 	}
-	return out
 }
 
 func tierOf(self, m membership.Member) routing.Tier {
