--- a/pkg/cli/bundle.go
+++ b/pkg/cli/bundle.go
@@ -44,6 +44,7 @@
 	Platform  string `arg:"--platform,env:TARRAGONDRUM_PLATFORM" placeholder:"URL" help:"base URL of the platform's object API"`
 	Mesh      string `arg:"--mesh,env:TARRAGONDRUM_MESH" placeholder:"NAME" help:"namespace of the mesh"`
 	TokenFile string `arg:"--platform-token-file,env:TARRAGONDRUM_PLATFORM_TOKEN_FILE" placeholder:"FILE" help:"file with the platform's bearer token"`
+	CAFile    string `arg:"--platform-ca-file,env:TARRAGONDRUM_PLATFORM_CA_FILE" placeholder:"FILE" help:"PEM certificates that sign the platform's"`
 	Settings  string `arg:"--settings,env:TARRAGONDRUM_SETTINGS" placeholder:"FILE" help:"settings file of a node, for the platform and the operators' keys"`
 }
 
@@ -95,7 +96,7 @@
 
 // open reads the settings, if any, and returns a client of the platform.
 func (f platformFlags) open() (*session, error) {
-	config := rest.Config{URL: f.Platform, Mesh: f.Mesh, TokenFile: f.TokenFile}
+	config := rest.Config{URL: f.Platform, Mesh: f.Mesh, TokenFile: f.TokenFile, CAFile: f.CAFile}
 	s := &session{}
 	if f.Settings != "" {
 		file, faults := settings.LoadPlatform(f.Settings)
@@ -131,6 +132,9 @@
 	if c.TokenFile == "" {
 		c.TokenFile = p.TokenFile
 	}
+	if c.CAFile == "" {
+		c.CAFile = p.CAFile
+	}
 	c.Timeout = p.Timeout.Std()
 	return c
 }
--- a/pkg/cli/bundleroll.go
+++ b/pkg/cli/bundleroll.go
@@ -76,7 +76,7 @@
 	view := newRollView(env, c.JSON)
 	report := rollReport{Version: version}
 	for {
-		progress, err := readProgress(ctx, store)
+		progress, err := bundlestore.ReadProgress(ctx, store)
 		switch {
 		case err == nil:
 			report = summarize(version, progress, c.DataCentres)
--- a/pkg/node/services.go
+++ b/pkg/node/services.go
@@ -45,6 +45,7 @@
 		URL:       s.URL,
 		Mesh:      s.Mesh,
 		TokenFile: s.TokenFile,
+		CAFile:    s.CAFile,
 		Timeout:   s.Timeout.Std(),
 	})
 	if err != nil {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -72,6 +72,7 @@
 	c.checkName("platform.mesh", p.Mesh)
 	c.checkDuration("platform.timeout", p.Timeout, minPlatformTimeout, maxPlatformTimeout)
 	c.checkFile("platform.tokenFile", p.TokenFile)
+	c.checkFile("platform.caFile", p.CAFile)
 	u, err := url.Parse(p.URL)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		c.fault("platform.url", "URL %q must be http or https with a host", p.URL)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -35,7 +35,8 @@
 type Platform struct {
 	URL       string          `json:"url" help:"base URL of the platform's object API, http or https; required"`
 	Mesh      string          `json:"mesh" help:"namespace of the mesh's objects; required"`
-	TokenFile string          `json:"tokenFile" help:"file with a bearer token, sent over https or on loopback only; without it none is sent"`
+	TokenFile string          `json:"tokenFile" help:"file with a bearer token, read again every minute and sent over https or on loopback only; without it none is sent"`
+	CAFile    string          `json:"caFile" help:"PEM certificates that sign the platform's; without it those of the system"`
 	Timeout   bundle.Duration `json:"timeout" default:"5s" help:"longest time for one call, 100ms to 1m"`
 }
 
