Give half of the shards a short look-ahead

Cause: the look-ahead trades cover in an outage against the price of a crash, and the shares had not been weighed.

--- a/pkg/order/table.go
+++ b/pkg/order/table.go
@@ -113,9 +113,10 @@
 	return t
 }
 
-// Lookahead says how far ahead of now ranges reach. A few shards have a short
+// Lookahead says how far ahead of now ranges reach. Some shards have a short
 // look-ahead, so that a successor takes over soon after a crash; the others
 // have a long one, so that orders go on while the platform is down.
+// docs/design/at-most-once.md weighs the shares.
 type Lookahead struct {
 	// Long and Short are the look-ahead of the two kinds of shard.
 	Long, Short time.Duration
@@ -125,10 +126,10 @@
 	Renew time.Duration
 }
 
-// DefaultLookahead covers an outage of an hour on three quarters of the shards
-// and a crash within half a minute on the others.
+// DefaultLookahead covers an outage of an hour on one half of the shards, and a
+// crash within half a minute on the other half.
 func DefaultLookahead() Lookahead {
-	return Lookahead{Long: 75 * time.Minute, Short: 30 * time.Second, ShortEvery: 4, Renew: 10 * time.Second}
+	return Lookahead{Long: 75 * time.Minute, Short: 30 * time.Second, ShortEvery: 2, Renew: 10 * time.Second}
 }
 
 // Of returns the look-ahead of a shard.
