Check certificates in the settings, and outages at every call of a save

Cause: settings check found missing files but not a certificate that the other nodes would refuse, which shows only once the node runs.

A test cuts a preparation off at every call by an outage.

--- a/pkg/bundlestore/bundlestore_test.go
+++ b/pkg/bundlestore/bundlestore_test.go
@@ -154,6 +154,38 @@
 	save(t, store, b) // a half-stored bundle is finished by the next attempt
 }
 
+// Wherever an outage cuts a preparation off, the bundle is not readable in part,
+// and preparing again makes it whole.
+func TestOutageAtEveryCallOfASave(t *testing.T) {
+	for stop := range 6 {
+		t.Run(fmt.Sprintf("after %d calls", stop), func(t *testing.T) {
+			is := is.New(t)
+			store := fake.New()
+			b := named("one")
+			id, err := b.ContentID()
+			is.NoErr(err)
+			cut := &bundletest.PausingStore{Store: store, Calls: stop, Pause: func() { store.SetDown(true) }}
+			_, saveErr := bundlestore.Save(t.Context(), cut, &b, meta)
+			store.SetDown(false)
+			got, err := bundlestore.Load(t.Context(), store, id)
+			if saveErr == nil {
+				is.NoErr(err)
+			}
+			if err == nil {
+				is.Equal(got, b)
+			} else {
+				is.True(errors.Is(err, bundlestore.ErrNotPrepared) || errors.Is(err, bundlestore.ErrNotReadable))
+			}
+			is.Equal(save(t, store, b), id)
+			entries, _, err := bundlestore.List(t.Context(), store)
+			is.NoErr(err)
+			is.Equal(entries[0].State, bundlestore.StatePrepared)
+			_, err = bundlestore.Load(t.Context(), store, id)
+			is.NoErr(err)
+		})
+	}
+}
+
 func TestClaimedBundleCannotBeWithdrawn(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -45,6 +45,7 @@
 	c.checkName("node.region", string(s.Node.Region))
 	c.checkPlatform(&s.Platform)
 	c.checkMesh(&s.Mesh)
+	c.checkCertificate(s.Node.ID, &s.Mesh)
 	c.checkListeners(s)
 	c.checkOperators(s.Operators)
 	c.checkUpstreams(s.Upstreams)
@@ -60,12 +61,13 @@
 
 // fault reports a fault unless the key has one already.
 func (c *checker) fault(key, format string, args ...any) {
-	for _, f := range c.faults {
-		if f.Key == key {
-			return
-		}
+	if !c.hasFault(key) {
+		c.faults = append(c.faults, c.positions.Fault(key, format, args...))
 	}
-	c.faults = append(c.faults, c.positions.Fault(key, format, args...))
+}
+
+func (c *checker) hasFault(key string) bool {
+	return slices.ContainsFunc(c.faults, func(f bundle.Fault) bool { return f.Key == key })
 }
 
 func (c *checker) checkPlatform(p *Platform) {
