--- a/pkg/gossip/gateway.go
+++ b/pkg/gossip/gateway.go
@@ -56,7 +56,7 @@
 	s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.mu.Unlock()
 	reached := false
-	for _, p := range peers {
+	for _, p := range peers[:min(len(peers), visitTries)] {
 		_, err := s.exchange(s.ctx, p)
 		if s.ctx.Err() != nil {
 			return
--- a/pkg/gossip/gossiptest/cluster.go
+++ b/pkg/gossip/gossiptest/cluster.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/gossip"
+	"github.com/tarragondrum/tarragondrum/pkg/kernel"
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/mesh"
 	"github.com/tarragondrum/tarragondrum/pkg/mesh/fault"
@@ -29,7 +30,7 @@
 	// Edit may change the options of a node before it is made.
 	Edit func(*gossip.Options)
 	// Transport makes the transport of a node and the function that ends it; nil
-	// means in-process.
+	// means in-process. A transport that is a kernel.Service is started.
 	Transport func(self mesh.Peer) (mesh.Transport, func(), error)
 	// Addr returns the address of a node; nil means made-up ones.
 	Addr func(i int) string
@@ -129,6 +130,12 @@
 		end()
 		return fmt.Errorf("node %q: %w", n.Record.ID, err)
 	}
+	if starter, ok := t.(kernel.Service); ok {
+		if err := starter.Start(context.Background(), nil); err != nil {
+			end()
+			return fmt.Errorf("transport of %q: %w", n.Record.ID, err)
+		}
+	}
 	n.Service, n.Transport, n.close = s, o.Transport, end
 	return s.Start(context.Background(), nil)
 }
@@ -186,7 +193,7 @@
 }
 
 // Converged reports whether every running node sees exactly the running nodes
-// as alive.
+// as alive, each with the incarnation of its present process.
 func (c *Cluster) Converged() bool {
 	running := c.Running()
 	for _, n := range running {
@@ -208,7 +215,8 @@
 		return false
 	}
 	for _, n := range running {
-		if v.Members[n.Record.ID].Status != membership.StatusAlive {
+		m := v.Members[n.Record.ID]
+		if m.Status != membership.StatusAlive || m.Incarnation < n.Record.Incarnation {
 			return false
 		}
 	}
--- a/pkg/gossip/timing.go
+++ b/pkg/gossip/timing.go
@@ -80,6 +80,8 @@
 	// centreFailures is the number of failed rounds that make a data centre
 	// unreachable.
 	centreFailures = 2
+	// visitTries is the number of members of a data centre that one round tries.
+	visitTries = 2
 	// gossipEntries is the number of entries that ride on one probe.
 	gossipEntries = 3
 )
--- a/pkg/mesh/wire/wire.go
+++ b/pkg/mesh/wire/wire.go
@@ -38,6 +38,9 @@
 	headerTimeout = 3 * time.Second
 	// messageTimeout bounds the time in which one message is sent or received.
 	messageTimeout = 5 * time.Second
+	// silentTimeout is the time without a reply after which a request that is not
+	// answered ends its connection.
+	silentTimeout = 5 * time.Second
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 90 * time.Second
 	// idleCheck is the time between two looks for unused connections.
@@ -186,11 +189,16 @@
 	return nil
 }
 
-// Stop closes every listener and connection and waits for running handlers.
+// Stop closes every listener and connection and waits for running handlers. A
+// second call does nothing.
 func (t *Transport) Stop(ctx context.Context) error {
 	t.connMu.Lock()
+	again := t.stopped
 	t.stopped = true
 	t.connMu.Unlock()
+	if again {
+		return nil
+	}
 	t.cancel()
 	err := errors.Join(t.server.Close(), t.udp.Close())
 	t.closeAll()
