Check the promises across separate processes, and do not fail a stop for a hand-over

Cause: the mesh had only run as separate processes by hand. A failed hand-over is logged (705) and counted, and no longer an error of the stop: its keys are answered unknown and never run twice.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -84,7 +84,7 @@
 	if err := t.startMesh(ctx, block); err != nil {
 		return err
 	}
-	defer t.stopMesh(context.WithoutCancel(ctx))
+	defer func() { err = errors.Join(err, t.mesh.Stop(context.WithoutCancel(ctx))) }()
 	for _, step := range t.steps() {
 		if err := step(ctx); err != nil {
 			return err
@@ -140,14 +140,6 @@
 	return t.mesh.WaitMembers(ctx)
 }
 
-// stopMesh stops every host at the same time. Owners of order keys then find no
-// successor, which is told but breaks no promise.
-func (t *teller) stopMesh(ctx context.Context) {
-	if err := t.mesh.Stop(ctx); err != nil {
-		t.say("\n%s stopped: %v", t.story.deployment.Name, err)
-	}
-}
-
 func (t *teller) upstream(i localmesh.Instance) upstream.Options {
 	return upstream.Options{
 		Slots:   i.Service.Slots,
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -99,9 +99,8 @@
 }
 
 // handOver gives all ranges and records of this node to successors.
-func (s *Service) handOver(ctx context.Context) error {
+func (s *Service) handOver(ctx context.Context) {
 	s.cutOnce(ctx)
-	var errs []error
 	for _, name := range s.hosted() {
 		s.mu.Lock()
 		svc := s.service(name)
@@ -115,13 +114,11 @@
 		if err != nil {
 			s.metrics.handOvers.WithLabelValues("failed").Inc()
 			s.opts.Log.Emit(event.OrderHandOverFail, event.F("service", name), event.F("error", err))
-			errs = append(errs, err)
 			continue
 		}
 		s.metrics.handOvers.WithLabelValues("ok").Inc()
 		s.opts.Log.Emit(event.OrderHandedOver, event.F("service", name))
 	}
-	return errors.Join(errs...)
 }
 
 func (s *Service) handOverService(ctx context.Context, svc *service, owned map[int]bool) error {
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -153,11 +153,14 @@
 	return nil
 }
 
-// Stop implements kernel.Service. It hands ranges and records to successors.
+// Stop implements kernel.Service. It hands ranges and records to successors. A
+// hand-over that fails is counted and logged; it is no error of the stop, since
+// no key then runs twice: keys of this node are answered unknown.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	s.done.Wait()
-	return s.handOver(ctx)
+	s.handOver(ctx)
+	return nil
 }
 
 // service returns the state of the named service. s.mu must be held.
