--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -23,14 +23,14 @@
 	"github.com/tarragondrum/tarragondrum/pkg/rollout"
 )
 
-// desk is a stand-in platform with two operators' keys and a bundle folder.
-type desk struct {
+// harness is a stand-in platform with two operators' keys and a bundle folder.
+type harness struct {
 	t        *testing.T
 	platform *standin.Server
 	dir      string
 }
 
-func newDesk(t *testing.T) *desk {
+func newHarness(t *testing.T) *harness {
 	t.Helper()
 	s, err := standin.Start(standin.Config{Address: "127.0.0.1:0"})
 	is.New(t).NoErr(err)
@@ -39,149 +39,149 @@
 		defer cancel()
 		_ = s.Stop(ctx)
 	})
-	d := &desk{t: t, platform: s, dir: t.TempDir()}
+	h := &harness{t: t, platform: s, dir: t.TempDir()}
 	for _, name := range []string{"ioana", "mihai"} {
-		d.ok("key", "generate", "--name", name, "--out", d.path(name+".key"))
+		h.ok("key", "generate", "--name", name, "--out", h.path(name+".key"))
 	}
-	d.write("first")
-	return d
+	h.write("first")
+	return h
 }
 
-func (d *desk) path(name string) string { return filepath.Join(d.dir, name) }
+func (h *harness) path(name string) string { return filepath.Join(h.dir, name) }
 
 // write makes the bundle folder hold one service of the given name.
-func (d *desk) write(service string) {
-	d.t.Helper()
-	is := is.New(d.t)
-	is.NoErr(os.MkdirAll(d.path("bundle"), 0o755))
+func (h *harness) write(service string) {
+	h.t.Helper()
+	is := is.New(h.t)
+	is.NoErr(os.MkdirAll(h.path("bundle"), 0o755))
 	text := `{ "services": [{ "name": "` + service + `" }] }`
-	is.NoErr(os.WriteFile(d.path("bundle/all.jsonc"), []byte(text), 0o600))
+	is.NoErr(os.WriteFile(h.path("bundle/all.jsonc"), []byte(text), 0o600))
 }
 
 // run runs one command and returns its exit code and outputs.
-func (d *desk) run(argv ...string) (code int, stdout, stderr string) {
-	d.t.Helper()
+func (h *harness) run(argv ...string) (code int, stdout, stderr string) {
+	h.t.Helper()
 	if argv[0] == "bundle" && argv[1] != "check" {
-		argv = append(argv, "--platform", d.platform.URL(), "--mesh", "desk")
+		argv = append(argv, "--platform", h.platform.URL(), "--mesh", "desk")
 	}
 	var out, errs bytes.Buffer
-	code = cli.Run(d.t.Context(), argv, cli.Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs})
+	code = cli.Run(h.t.Context(), argv, cli.Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs})
 	return code, out.String(), errs.String()
 }
 
 // ok runs a command that must succeed and returns its output.
-func (d *desk) ok(argv ...string) string {
-	d.t.Helper()
-	code, stdout, stderr := d.run(argv...)
+func (h *harness) ok(argv ...string) string {
+	h.t.Helper()
+	code, stdout, stderr := h.run(argv...)
 	if code != cli.ExitOK {
-		d.t.Fatalf("%v: exit %d: %s", argv, code, stderr)
+		h.t.Fatalf("%v: exit %d: %s", argv, code, stderr)
 	}
 	return stdout
 }
 
 // fails runs a command that must end with the given code and returns its error.
-func (d *desk) fails(want int, argv ...string) string {
-	d.t.Helper()
-	code, stdout, stderr := d.run(argv...)
+func (h *harness) fails(want int, argv ...string) string {
+	h.t.Helper()
+	code, stdout, stderr := h.run(argv...)
 	if code != want {
-		d.t.Fatalf("%v: exit %d, not %d: %s%s", argv, code, want, stdout, stderr)
+		h.t.Fatalf("%v: exit %d, not %d: %s%s", argv, code, want, stdout, stderr)
 	}
 	return stderr
 }
 
 // prepare prepares the folder and returns the id.
-func (d *desk) prepare() string {
-	d.t.Helper()
+func (h *harness) prepare() string {
+	h.t.Helper()
 	var report struct{ Bundle string }
-	out := d.ok("bundle", "prepare", d.path("bundle"), "--as", "ioana", "--json")
-	is.New(d.t).NoErr(json.Unmarshal([]byte(out), &report))
+	out := h.ok("bundle", "prepare", h.path("bundle"), "--as", "ioana", "--json")
+	is.New(h.t).NoErr(json.Unmarshal([]byte(out), &report))
 	return report.Bundle
 }
 
-func (d *desk) signOff(id, expect, operator string) []string {
-	return []string{"bundle", "sign-off", id, "--expect-version", expect, "--as", operator, "--key", d.path(operator + ".key"), "--reason", "noon"}
+func (h *harness) signOff(id, expect, operator string) []string {
+	return []string{"bundle", "sign-off", id, "--expect-version", expect, "--as", operator, "--key", h.path(operator + ".key"), "--reason", "noon"}
 }
 
 func TestPrepareSignOffAndLookBack(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	first := d.prepare()
-	is.Equal(d.prepare(), first) // twice gives the same id
-	is.True(strings.Contains(d.ok("bundle", "status"), "waiting: bundle "+first[:12]+", prepared by ioana"))
-	is.True(strings.Contains(d.ok(d.signOff(first[:8], "0", "ioana")...), "version 1 is in force"))
+	h := newHarness(t)
+	first := h.prepare()
+	is.Equal(h.prepare(), first) // twice gives the same id
+	is.True(strings.Contains(h.ok("bundle", "status"), "waiting: bundle "+first[:12]+", prepared by ioana"))
+	is.True(strings.Contains(h.ok(h.signOff(first[:8], "0", "ioana")...), "version 1 is in force"))
 
-	d.write("second")
-	out := d.ok("bundle", "prepare", d.path("bundle"), "--as", "ioana")
+	h.write("second")
+	out := h.ok("bundle", "prepare", h.path("bundle"), "--as", "ioana")
 	is.True(strings.Contains(out, "+ service second"))
 	is.True(strings.Contains(out, "- service first"))
-	d.ok(d.signOff(d.prepare(), "1", "mihai")...)
+	h.ok(h.signOff(h.prepare(), "1", "mihai")...)
 
-	is.True(strings.Contains(d.ok("bundle", "status"), "version 2 is in force"))
-	history := d.ok("bundle", "history")
+	is.True(strings.Contains(h.ok("bundle", "status"), "version 2 is in force"))
+	history := h.ok("bundle", "history")
 	is.True(strings.Index(history, "mihai") < strings.Index(history, "noon"))
 	is.Equal(strings.Count(history, "\n"), 3)
-	is.True(strings.Contains(d.ok("bundle", "diff", "v1", "in-force"), "- service first"))
+	is.True(strings.Contains(h.ok("bundle", "diff", "v1", "in-force"), "- service first"))
 
 	// What show prints can be prepared again, with the same id.
-	is.NoErr(os.WriteFile(d.path("bundle/all.jsonc"), []byte(d.ok("bundle", "show", "1")), 0o600))
-	is.Equal(d.prepare(), first)
-	is.True(strings.Contains(d.ok("bundle", "prepare", "--from-version", "1", "--as", "mihai"), first))
-	d.ok(d.signOff(first, "2", "ioana")...) // back to older content is a new version
-	is.True(strings.Contains(d.ok("bundle", "status"), "version 3 is in force: bundle "+first[:12]))
+	is.NoErr(os.WriteFile(h.path("bundle/all.jsonc"), []byte(h.ok("bundle", "show", "1")), 0o600))
+	is.Equal(h.prepare(), first)
+	is.True(strings.Contains(h.ok("bundle", "prepare", "--from-version", "1", "--as", "mihai"), first))
+	h.ok(h.signOff(first, "2", "ioana")...) // back to older content is a new version
+	is.True(strings.Contains(h.ok("bundle", "status"), "version 3 is in force: bundle "+first[:12]))
 }
 
 func TestSecondOperatorIsToldWhoWhichAndWhen(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	id := d.prepare()
-	d.write("second")
-	other := d.prepare()
-	d.ok(d.signOff(id, "0", "ioana")...)
-	stderr := d.fails(cli.ExitConflict, d.signOff(other, "0", "mihai")...)
+	h := newHarness(t)
+	id := h.prepare()
+	h.write("second")
+	other := h.prepare()
+	h.ok(h.signOff(id, "0", "ioana")...)
+	stderr := h.fails(cli.ExitConflict, h.signOff(other, "0", "mihai")...)
 	is.True(strings.Contains(stderr, "ioana put version 1 (bundle "+id[:12]+") in force at 20"))
-	is.True(strings.Contains(d.ok("bundle", "status"), "version 1 is in force"))
+	is.True(strings.Contains(h.ok("bundle", "status"), "version 1 is in force"))
 }
 
 func TestLostAnswerOverHTTPIsAcceptedOnce(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	id := d.prepare()
-	is.NoErr(d.platform.Apply(standin.Faults{LoseAnswers: 2})) // of the claim and of the head
-	d.ok(d.signOff(id, "0", "ioana")...)
-	is.Equal(strings.Count(d.ok("bundle", "history"), "\n"), 2)
+	h := newHarness(t)
+	id := h.prepare()
+	is.NoErr(h.platform.Apply(standin.Faults{LoseAnswers: 2})) // of the claim and of the head
+	h.ok(h.signOff(id, "0", "ioana")...)
+	is.Equal(strings.Count(h.ok("bundle", "history"), "\n"), 2)
 }
 
 func TestOperationIsToldTruly(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	h := newHarness(t)
 	var a bundle.Acceptance
-	is.NoErr(json.Unmarshal([]byte(d.ok(append(d.signOff(d.prepare(), "0", "ioana"), "--json")...)), &a))
-	is.True(strings.Contains(d.ok("bundle", "status", "--operation", a.Operation), "accepted as version 1"))
-	d.fails(cli.ExitConflict, "bundle", "status", "--operation", "other", "--expect-version", "0")
-	d.fails(cli.ExitUnknown, "bundle", "status", "--operation", "other", "--expect-version", "1")
+	is.NoErr(json.Unmarshal([]byte(h.ok(append(h.signOff(h.prepare(), "0", "ioana"), "--json")...)), &a))
+	is.True(strings.Contains(h.ok("bundle", "status", "--operation", a.Operation), "accepted as version 1"))
+	h.fails(cli.ExitConflict, "bundle", "status", "--operation", "other", "--expect-version", "0")
+	h.fails(cli.ExitUnknown, "bundle", "status", "--operation", "other", "--expect-version", "1")
 }
 
 func TestPlatformDownChangesNothing(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	id := d.prepare()
+	h := newHarness(t)
+	id := h.prepare()
 	down, up := true, false
-	is.NoErr(d.platform.Apply(standin.Faults{Down: &down}))
-	d.fails(cli.ExitFailed, "bundle", "prepare", d.path("bundle"), "--as", "ioana")
-	d.fails(cli.ExitFailed, d.signOff(id, "0", "ioana")...)
-	d.fails(cli.ExitFailed, "bundle", "status", "--admin", "http://127.0.0.1:1")
-	is.NoErr(d.platform.Apply(standin.Faults{Down: &up}))
-	is.True(strings.Contains(d.ok("bundle", "status"), "no bundle has been accepted yet"))
-	d.ok(d.signOff(id, "0", "ioana")...)
+	is.NoErr(h.platform.Apply(standin.Faults{Down: &down}))
+	h.fails(cli.ExitFailed, "bundle", "prepare", h.path("bundle"), "--as", "ioana")
+	h.fails(cli.ExitFailed, h.signOff(id, "0", "ioana")...)
+	h.fails(cli.ExitFailed, "bundle", "status", "--admin", "http://127.0.0.1:1")
+	is.NoErr(h.platform.Apply(standin.Faults{Down: &up}))
+	is.True(strings.Contains(h.ok("bundle", "status"), "no bundle has been accepted yet"))
+	h.ok(h.signOff(id, "0", "ioana")...)
 }
 
 // While the platform is down, a node answers from what it knows and says how old
 // that is.
 func TestStatusFromANode(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	h := newHarness(t)
 	down := true
-	is.NoErr(d.platform.Apply(standin.Faults{Down: &down}))
+	is.NoErr(h.platform.Apply(standin.Faults{Down: &down}))
 	known := handover.Report{
 		Node:         "cluj-1-a",
 		InForce:      bundle.Acceptance{Version: 7, Bundle: "0123456789abcdef", Acceptor: "mihai"},
@@ -192,7 +192,7 @@
 		_ = json.NewEncoder(w).Encode(known)
 	}))
 	defer node.Close()
-	out := d.ok("bundle", "status", "--admin", node.URL)
+	out := h.ok("bundle", "status", "--admin", node.URL)
 	is.True(strings.Contains(out, "what node cluj-1-a knows, confirmed 1h0m"))
 	is.True(strings.Contains(out, "version 7 is in force: bundle 0123456789ab\n  accepted by mihai"))
 	is.True(strings.Contains(out, "waiting: bundle fedcba987654, prepared by ioana"))
@@ -200,112 +200,112 @@
 
 func TestWrongUseChangesNothing(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	id := d.prepare()
-	is.NoErr(os.Mkdir(d.path("bad"), 0o755))
-	is.NoErr(os.WriteFile(d.path("bad/f.jsonc"), []byte("{\n\"service\": [] }"), 0o600))
-	is.NoErr(os.WriteFile(d.path("open.key"), []byte("{}"), 0o644))
+	h := newHarness(t)
+	id := h.prepare()
+	is.NoErr(os.Mkdir(h.path("bad"), 0o755))
+	is.NoErr(os.WriteFile(h.path("bad/f.jsonc"), []byte("{\n\"service\": [] }"), 0o600))
+	is.NoErr(os.WriteFile(h.path("open.key"), []byte("{}"), 0o644))
 	cases := map[string]struct {
 		argv []string
 		want string
 	}{
-		"bad folder":      {[]string{"bundle", "prepare", d.path("bad"), "--as", "ioana"}, "bad/f.jsonc:2: service: unknown key"},
-		"bad check":       {[]string{"bundle", "check", d.path("bad")}, "bad/f.jsonc:2: service: unknown key"},
+		"bad folder":      {[]string{"bundle", "prepare", h.path("bad"), "--as", "ioana"}, "bad/f.jsonc:2: service: unknown key"},
+		"bad check":       {[]string{"bundle", "check", h.path("bad")}, "bad/f.jsonc:2: service: unknown key"},
 		"nothing to do":   {[]string{"bundle", "prepare", "--as", "ioana"}, "either a folder or --from-version"},
-		"no name":         {[]string{"bundle", "prepare", d.path("bundle")}, "--as"},
+		"no name":         {[]string{"bundle", "prepare", h.path("bundle")}, "--as"},
 		"short id":        {[]string{"bundle", "show", "abc"}, "at least 6 characters"},
-		"other's key":     {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", d.path("ioana.key")}, `belongs to "ioana"`},
-		"no key":          {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", d.path("absent")}, "no such file"},
-		"open key":        {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", d.path("open.key")}, "can be read by others"},
-		"no version":      {[]string{"bundle", "sign-off", id, "--as", "ioana", "--key", d.path("ioana.key")}, "--expect-version N"},
+		"other's key":     {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", h.path("ioana.key")}, `belongs to "ioana"`},
+		"no key":          {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", h.path("absent")}, "no such file"},
+		"open key":        {[]string{"bundle", "sign-off", id, "--expect-version", "0", "--as", "mihai", "--key", h.path("open.key")}, "can be read by others"},
+		"no version":      {[]string{"bundle", "sign-off", id, "--as", "ioana", "--key", h.path("ioana.key")}, "--expect-version N"},
 		"future roll":     {[]string{"bundle", "roll", "--version", "9"}, "has not been accepted"},
 		"bad limit":       {[]string{"bundle", "history", "--limit", "0"}, "at least 1"},
-		"key over a file": {[]string{"key", "generate", "--name", "ioana", "--out", d.path("ioana.key")}, "file exists"},
-		"bad name":        {[]string{"key", "generate", "--name", "Ioana", "--out", d.path("x.key")}, "lower-case"},
+		"key over a file": {[]string{"key", "generate", "--name", "ioana", "--out", h.path("ioana.key")}, "file exists"},
+		"bad name":        {[]string{"key", "generate", "--name", "Ioana", "--out", h.path("x.key")}, "lower-case"},
 		"no key file":     {[]string{"key", "generate", "--name", "ioana"}, "--out FILE"},
 		"no signer":       {[]string{"bundle", "sign-off", id, "--expect-version", "0"}, "--key FILE"},
-		"bad settings":    {[]string{"settings", "check", d.path("bad/f.jsonc")}, "service: unknown key"},
+		"bad settings":    {[]string{"settings", "check", h.path("bad/f.jsonc")}, "service: unknown key"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.True(strings.Contains(d.fails(cli.ExitUsage, c.argv...), c.want))
+			is.True(strings.Contains(h.fails(cli.ExitUsage, c.argv...), c.want))
 		})
 	}
-	is.True(strings.Contains(d.ok("bundle", "status"), "no bundle has been accepted yet"))
+	is.True(strings.Contains(h.ok("bundle", "status"), "no bundle has been accepted yet"))
 }
 
 func TestKeysAndSettingsWorkTogether(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	entry := d.ok("key", "generate", "--name", "driss", "--out", d.path("driss.key"))
-	info, err := os.Stat(d.path("driss.key"))
+	h := newHarness(t)
+	entry := h.ok("key", "generate", "--name", "driss", "--out", h.path("driss.key"))
+	info, err := os.Stat(h.path("driss.key"))
 	is.NoErr(err)
 	is.Equal(info.Mode().Perm(), os.FileMode(0o600))
 	entry = entry[strings.Index(entry, `{"name"`):]
 	text := `{ "node": { "id": "a", "dataCentre": "d", "region": "r" },
-		"platform": { "url": "` + d.platform.URL() + `", "mesh": "desk" },
+		"platform": { "url": "` + h.platform.URL() + `", "mesh": "desk" },
 		"mesh": { "address": "127.0.0.1:7100" }, "inbound": { "address": "127.0.0.1:7101" },
 		"operators": [` + entry + `] }`
-	is.NoErr(os.WriteFile(d.path("node.jsonc"), []byte(text), 0o600))
-	d.ok("settings", "check", d.path("node.jsonc"))
+	is.NoErr(os.WriteFile(h.path("node.jsonc"), []byte(text), 0o600))
+	h.ok("settings", "check", h.path("node.jsonc"))
 
-	id := d.prepare()
-	stderr := d.fails(cli.ExitFailed, append(d.signOff(id, "0", "ioana"), "--settings", d.path("node.jsonc"))...)
+	id := h.prepare()
+	stderr := h.fails(cli.ExitFailed, append(h.signOff(id, "0", "ioana"), "--settings", h.path("node.jsonc"))...)
 	is.True(strings.Contains(stderr, "is not trusted"))
-	d.ok(append(d.signOff(id, "0", "driss"), "--settings", d.path("node.jsonc"))...)
-	is.True(strings.Contains(d.ok("bundle", "status", "--settings", d.path("node.jsonc")), "signature good"))
-	is.True(strings.Contains(d.ok("bundle", "status"), "signature not checked"))
+	h.ok(append(h.signOff(id, "0", "driss"), "--settings", h.path("node.jsonc"))...)
+	is.True(strings.Contains(h.ok("bundle", "status", "--settings", h.path("node.jsonc")), "signature good"))
+	is.True(strings.Contains(h.ok("bundle", "status"), "signature not checked"))
 }
 
 func TestWithdrawnBundleMustBePreparedAgain(t *testing.T) {
-	d := newDesk(t)
-	id := d.prepare()
-	d.ok("bundle", "withdraw", id)
-	d.fails(cli.ExitFailed, d.signOff(id, "0", "ioana")...)
-	d.prepare()
-	d.ok(d.signOff(id, "0", "ioana")...)
-	d.fails(cli.ExitFailed, "bundle", "withdraw", id)
+	h := newHarness(t)
+	id := h.prepare()
+	h.ok("bundle", "withdraw", id)
+	h.fails(cli.ExitFailed, h.signOff(id, "0", "ioana")...)
+	h.prepare()
+	h.ok(h.signOff(id, "0", "ioana")...)
+	h.fails(cli.ExitFailed, "bundle", "withdraw", id)
 }
 
 // report writes the roll-out of a data centre as a node does.
-func (d *desk) report(p rollout.Progress) {
-	d.t.Helper()
-	is := is.New(d.t)
+func (h *harness) report(p rollout.Progress) {
+	h.t.Helper()
+	is := is.New(h.t)
 	value, err := json.Marshal(p)
 	is.NoErr(err)
 	key := platform.Key{Collection: "desk/" + platform.CollectionStatuses, Name: string(p.DataCentre)}
-	o, _ := d.platform.Store().Get(d.t.Context(), key)
-	_, err = d.platform.Store().Put(d.t.Context(), key, value, o.Revision)
+	o, _ := h.platform.Store().Get(h.t.Context(), key)
+	_, err = h.platform.Store().Put(h.t.Context(), key, value, o.Revision)
 	is.NoErr(err)
 }
 
 func TestRollNamesWhoIsBehind(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
-	d.ok(d.signOff(d.prepare(), "0", "ioana")...)
-	stderr := d.fails(cli.ExitBehind, "bundle", "roll", "--timeout", "10ms")
+	h := newHarness(t)
+	h.ok(h.signOff(h.prepare(), "0", "ioana")...)
+	stderr := h.fails(cli.ExitBehind, "bundle", "roll", "--timeout", "10ms")
 	is.True(strings.Contains(stderr, "0 of 0 nodes"))
 
 	whole := rollout.Progress{DataCentre: "cluj-1", Version: 1, Members: 3, Applied: 3, Time: time.Now()}
 	behind := rollout.Progress{DataCentre: "cluj-2", Version: 1, Members: 2, Applied: 1, Time: time.Now(),
 		Laggards: []rollout.Laggard{{Node: "cluj-2-b", Version: model.Version(0), Reason: "bundle: bad signature"}}}
-	d.report(whole)
-	d.report(behind)
-	code, stdout, _ := d.run("bundle", "roll", "--timeout", "200ms")
+	h.report(whole)
+	h.report(behind)
+	code, stdout, _ := h.run("bundle", "roll", "--timeout", "200ms")
 	is.Equal(code, cli.ExitBehind)
 	is.True(strings.Contains(stdout, "node cluj-2-b is on version 0: bundle: bad signature"))
 	is.True(!strings.Contains(stdout, "cluj-1:"))
 
 	behind.Applied = 2
-	d.report(behind)
-	is.True(strings.Contains(d.ok("bundle", "roll"), "version 1 is in force on all 5 nodes"))
-	code, stdout, _ = d.run("bundle", "roll", "--timeout", "200ms", "--data-centres", "cluj-1", "cluj-3")
+	h.report(behind)
+	is.True(strings.Contains(h.ok("bundle", "roll"), "version 1 is in force on all 5 nodes"))
+	code, stdout, _ = h.run("bundle", "roll", "--timeout", "200ms", "--data-centres", "cluj-1", "cluj-3")
 	is.Equal(code, cli.ExitBehind)
 	is.True(strings.Contains(stdout, "data centre cluj-3 has not reported"))
 
-	d.report(rollout.Progress{DataCentre: "cluj-2", Version: 0, Members: 2, Applied: 2, Time: time.Now()})
-	d.fails(cli.ExitBehind, "bundle", "roll", "--timeout", "200ms", "--json")
+	h.report(rollout.Progress{DataCentre: "cluj-2", Version: 0, Members: 2, Applied: 2, Time: time.Now()})
+	h.fails(cli.ExitBehind, "bundle", "roll", "--timeout", "200ms", "--json")
 }
 
 func TestEveryCommandShowsAnExample(t *testing.T) {
--- a/pkg/platform/budget/budget.go
+++ b/pkg/platform/budget/budget.go
@@ -101,7 +101,7 @@
 	limiters map[Class]*rate.Limiter
 
 	mu      sync.Mutex
-	credit  *Credit
+	retry   *RetryBudget
 	circuit *Circuit
 
 	calls    *prometheus.CounterVec
@@ -117,7 +117,7 @@
 		next:     next,
 		options:  options,
 		limiters: make(map[Class]*rate.Limiter),
-		credit:   NewCredit(options.RetryShare, maxSavedRetries),
+		retry:    NewRetryBudget(options.RetryShare, maxSavedRetries),
 		calls:    metric.Counter(registry, "platform_calls_total", "Calls sent to the platform, by result.", "call", "class", "result"),
 		retries:  metric.Counter(registry, "platform_retries_total", "Calls to the platform that were tried again, by reason.", "call", "reason"),
 		refusals: metric.Counter(registry, "platform_refusals_total", "Calls refused without reaching the platform, by reason.", "class", "reason"),
@@ -200,7 +200,7 @@
 func (s *Store) do(ctx context.Context, call Call, c platform.Collection, send func() error) error {
 	class := ClassOf(c)
 	s.mu.Lock()
-	s.credit.Earn()
+	s.retry.Deposit()
 	s.mu.Unlock()
 	for attempt := 1; ; attempt++ {
 		if err := s.admit(ctx, call, class); err != nil {
@@ -261,7 +261,7 @@
 func (s *Store) spend() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.credit.Spend()
+	return s.retry.Withdraw()
 }
 
 // sleep waits for d or returns the error of ctx.
--- a/pkg/platform/budget/budget_test.go
+++ b/pkg/platform/budget/budget_test.go
@@ -23,15 +23,15 @@
 	value = json.RawMessage(`{}`)
 )
 
-type bench struct {
+type fixture struct {
 	store    *budget.Store
 	fake     *fake.Store
 	registry *metric.Registry
 	log      *event.Log
 }
 
-func newBench(o budget.Options) *bench {
-	b := &bench{fake: fake.New(), registry: prometheus.NewRegistry(), log: event.Discard()}
+func newFixture(o budget.Options) *fixture {
+	b := &fixture{fake: fake.New(), registry: prometheus.NewRegistry(), log: event.Discard()}
 	if o.Random == nil {
 		o.Random = func() float64 { return 0.5 }
 	}
@@ -40,7 +40,7 @@
 }
 
 // counter adds up the series of a counter.
-func (b *bench) counter(t *testing.T, name string) float64 {
+func (b *fixture) counter(t *testing.T, name string) float64 {
 	t.Helper()
 	families, err := b.registry.Gather()
 	is.New(t).NoErr(err)
@@ -59,7 +59,7 @@
 func TestCallsPassThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{})
+		b := newFixture(budget.Options{})
 		revision, err := b.store.Put(t.Context(), key, value, "")
 		is.NoErr(err)
 		w, err := b.store.Watch(t.Context(), key.Collection, "0")
@@ -81,7 +81,7 @@
 func TestStormIsHeldToTheRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{Rate: 10})
+		b := newFixture(budget.Options{Rate: 10})
 		results := make(chan error, 100)
 		for range 100 {
 			go func() {
@@ -109,7 +109,7 @@
 func TestDownPlatformFailsFastAndComesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{})
+		b := newFixture(budget.Options{})
 		b.fake.SetDown(true)
 		for range 50 {
 			_, err := b.store.Get(t.Context(), key)
@@ -135,7 +135,7 @@
 func TestRetriesStayWithinTheirShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{Rate: 1000, Failures: 1 << 30})
+		b := newFixture(budget.Options{Rate: 1000, Failures: 1 << 30})
 		b.fake.SetDown(true)
 		const calls = 200
 		for range calls {
@@ -151,7 +151,7 @@
 func TestLostAnswerIsNeverRetried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{})
+		b := newFixture(budget.Options{})
 		b.fake.LoseAnswers(1)
 		_, err := b.store.Put(t.Context(), key, value, "")
 		is.True(errors.Is(err, platform.ErrUnknownOutcome))
@@ -162,7 +162,7 @@
 func TestCallerThatGivesUpDoesNotOpenTheCircuit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench(budget.Options{Failures: 1})
+		b := newFixture(budget.Options{Failures: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		_, err := b.store.Get(ctx, key)
--- a/pkg/platform/budget/policy.go
+++ b/pkg/platform/budget/policy.go
@@ -103,26 +103,26 @@
 	return bound
 }
 
-// Credit bounds retries to a share of the calls. It is pure and not safe for
+// RetryBudget bounds retries to a share of the calls. It is pure and not safe for
 // concurrent use.
-type Credit struct {
+type RetryBudget struct {
 	// Share is what each call adds, for example 0.1 for a retry in ten calls.
 	Share float64
-	// Limit bounds the credit that is saved up.
+	// Limit bounds the retries that are saved up.
 	Limit float64
 	saved float64
 }
 
-// NewCredit returns a credit that is full.
-func NewCredit(share, limit float64) *Credit {
-	return &Credit{Share: share, Limit: limit, saved: limit}
+// NewRetryBudget returns a budget that is full.
+func NewRetryBudget(share, limit float64) *RetryBudget {
+	return &RetryBudget{Share: share, Limit: limit, saved: limit}
 }
 
-// Earn adds the share of one call.
-func (c *Credit) Earn() { c.saved = min(c.saved+c.Share, c.Limit) }
+// Deposit adds the share of one call.
+func (c *RetryBudget) Deposit() { c.saved = min(c.saved+c.Share, c.Limit) }
 
-// Spend takes one retry and reports whether there was credit for it.
-func (c *Credit) Spend() bool {
+// Withdraw takes one retry and reports whether the budget had one left.
+func (c *RetryBudget) Withdraw() bool {
 	if c.saved < 1 {
 		return false
 	}
--- a/pkg/platform/budget/policy_test.go
+++ b/pkg/platform/budget/policy_test.go
@@ -42,17 +42,17 @@
 	}
 }
 
-func TestCreditIsAShareOfTheCalls(t *testing.T) {
+func TestRetryBudgetIsAShareOfTheCalls(t *testing.T) {
 	is := is.New(t)
-	c := budget.NewCredit(0.25, 1)
-	is.True(c.Spend()) // it starts full
-	is.True(!c.Spend())
+	c := budget.NewRetryBudget(0.25, 1)
+	is.True(c.Withdraw()) // it starts full
+	is.True(!c.Withdraw())
 	for range 3 {
-		c.Earn()
+		c.Deposit()
 	}
-	is.True(!c.Spend())
-	c.Earn()
-	is.True(c.Spend())
+	is.True(!c.Withdraw())
+	c.Deposit()
+	is.True(c.Withdraw())
 }
 
 func TestCircuit(t *testing.T) {
--- a/pkg/platform/standin/faults.go
+++ b/pkg/platform/standin/faults.go
@@ -50,10 +50,10 @@
 	}
 	s.store.SetDown(*f.Down)
 	if *f.Down {
-		s.gate.shut()
+		s.listener.pause()
 		return nil
 	}
-	return s.gate.open()
+	return s.listener.resume()
 }
 
 func (s *Server) registerFaults(h *server.Hertz) {
--- a/pkg/platform/standin/standin.go
+++ b/pkg/platform/standin/standin.go
@@ -42,11 +42,11 @@
 
 // Server is a running stand-in.
 type Server struct {
-	store  *fake.Store
-	gate   *gate
-	api    *httpserver.Server
-	faults *httpserver.Server
-	token  string
+	store    *fake.Store
+	listener *pausableListener
+	api      *httpserver.Server
+	faults   *httpserver.Server
+	token    string
 	// ending is closed by Stop, so that watches end.
 	ending context.Context
 	end    context.CancelFunc
@@ -54,14 +54,14 @@
 
 // Start serves until Stop.
 func Start(c Config) (*Server, error) {
-	g, err := newGate(c.Address)
+	listener, err := newPausableListener(c.Address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{store: fake.New(), gate: g, token: c.Token}
+	s := &Server{store: fake.New(), listener: listener, token: c.Token}
 	s.store.SetRates(c.Reads, c.Writes)
 	s.ending, s.end = context.WithCancel(context.Background())
-	s.api, err = httpserver.Serve(g, s.register, server.WithMaxRequestBodySize(maxRequestBytes))
+	s.api, err = httpserver.Serve(listener, s.register, server.WithMaxRequestBodySize(maxRequestBytes))
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +76,7 @@
 }
 
 // URL returns the base URL of the object API.
-func (s *Server) URL() string { return "http://" + s.gate.addr }
+func (s *Server) URL() string { return "http://" + s.listener.addr }
 
 // FaultURL returns the base URL for switching faults, or "" if there is none.
 func (s *Server) FaultURL() string {
@@ -94,8 +94,8 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.end()
 	s.store.DropWatches()
-	s.gate.shut()
-	_ = s.gate.Close()
+	s.listener.pause()
+	_ = s.listener.Close()
 	err := s.api.Stop(ctx)
 	if s.faults == nil {
 		return err
--- a/pkg/signoff/faults_test.go
+++ b/pkg/signoff/faults_test.go
@@ -23,9 +23,9 @@
 // some calls.
 type faultyStore struct {
 	*fake.Store
-	rt      *rapid.T
-	meddle  func()
-	meddles int
+	rt            *rapid.T
+	intervene     func()
+	interventions int
 	// down is an outage for the rest of the sign-off.
 	down bool
 }
@@ -33,9 +33,9 @@
 // fault prepares the store for the next call and returns an error if the call
 // does not reach it.
 func (s *faultyStore) fault() error {
-	if s.meddles > 0 && rapid.IntRange(0, 7).Draw(s.rt, "meddle") == 0 {
-		s.meddles--
-		s.meddle()
+	if s.interventions > 0 && rapid.IntRange(0, 7).Draw(s.rt, "intervene") == 0 {
+		s.interventions--
+		s.intervene()
 	}
 	s.LoseAnswers(0)
 	s.DeferWrites(0)
@@ -74,8 +74,8 @@
 	return s.Store.Put(ctx, key, value, revision)
 }
 
-// told is what an operator was told about a sign-off.
-type told struct {
+// outcome is what an operator was told about a sign-off.
+type outcome struct {
 	acceptance bundle.Acceptance
 	operation  string
 	err        error
@@ -94,20 +94,20 @@
 			for _, name := range []string{"one", "two", "three"} {
 				ids = append(ids, prepare(t, store, name))
 			}
-			var all []told
+			var all []outcome
 			signOff := func(via platform.Store) {
 				r := request(rapid.SampledFrom(ids).Draw(rt, "bundle"), 0, "ioana")
 				h, _, err := bundlestore.ReadHead(t.Context(), store)
 				is.New(t).NoErr(err)
 				r.Expect = h.Acceptance.Version
 				r.Operation = fmt.Sprintf("op-%d", len(all))
-				all = append(all, told{operation: r.Operation})
+				all = append(all, outcome{operation: r.Operation})
 				i := len(all) - 1
 				a, err := signoff.Accept(t.Context(), via, r)
 				all[i].acceptance, all[i].err = a, err
 			}
 			for range rapid.IntRange(1, 4).Draw(rt, "operators") {
-				faulty := &faultyStore{Store: store, rt: rt, meddles: 2, meddle: func() { signOff(store) }}
+				faulty := &faultyStore{Store: store, rt: rt, interventions: 2, intervene: func() { signOff(store) }}
 				signOff(faulty)
 				store.LoseAnswers(0)
 				store.DeferWrites(0)
@@ -134,7 +134,7 @@
 	}
 }
 
-func checkTold(rt *rapid.T, list []bundle.Acceptance, o told) {
+func checkTold(rt *rapid.T, list []bundle.Acceptance, o outcome) {
 	var accepted []model.Version
 	for _, a := range list {
 		if a.Operation == o.operation {
