Count the runs of the order alone in the demo

Cause: the stand-in upstream now notes every call in the history, so the demo counted 5 runs. Change: the demo counts the runs since the step began.

--- a/pkg/demo/steps.go
+++ b/pkg/demo/steps.go
@@ -174,6 +174,7 @@
 	if err != nil {
 		return fmt.Errorf("make key: %w", err)
 	}
+	before := t.history.Check().Runs
 	c := t.story.order
 	c.Key = key.String()
 	for i := range 3 {
@@ -187,7 +188,8 @@
 	t.say("   the same key with another body: %s", a)
 	t.promise(a.Reason == reason.KeyReused, "it is refused")
 	report := t.history.Check()
-	t.promise(report.Runs == 1 && !report.Broken(), "the order ran once (%d runs of %d sendings)", report.Runs, report.Attempts)
+	runs := report.Runs - before
+	t.promise(runs == 1 && !report.Broken(), "the order ran once (%d runs of %d sendings)", runs, report.Attempts)
 	return nil
 }
 
