Add bench calls and bench membership to the command line

Cause: the measurements could only be run from Go. Change: the commands with JSON, seeds and a plot.

--- /dev/null
+++ b/pkg/cli/bench.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bench/calls"
+	membershipbench "github.com/tarragondrum/tarragondrum/pkg/bench/membership"
+)
+
+type benchCmd struct {
+	Calls      *benchCallsCmd      `arg:"subcommand:calls" help:"measure the path of calls and the bad days"`
+	Membership *benchMembershipCmd `arg:"subcommand:membership" help:"measure the membership at growing sizes"`
+}
+
+type benchCallsCmd struct {
+	Scenarios []string `arg:"--scenarios" placeholder:"NAME" help:"what to run; by default everything"`
+	Baselines bool     `arg:"--baselines" help:"run the baseline policies too"`
+	Seed      uint64   `arg:"--seed" default:"1" help:"seed of arrivals and service times"`
+	JSON      bool     `arg:"--json" help:"print JSON"`
+}
+
+func (*benchCallsCmd) example() string {
+	return "tarragondrum bench calls --scenarios billed-twice internal-flood --baselines\n  scenarios: " + strings.Join(calls.Names(), " ")
+}
+
+func (c *benchCallsCmd) run(ctx context.Context, env Env) int {
+	result, err := calls.Run(ctx, calls.Options{
+		Scenarios: c.Scenarios,
+		Baselines: c.Baselines,
+		Seed:      c.Seed,
+		Progress:  func(part string) { _, _ = fmt.Fprintln(env.Stderr, part) },
+	})
+	if errors.Is(err, calls.ErrUnknownScenario) {
+		return env.fail(ExitUsage, err)
+	}
+	if err != nil && !errors.Is(err, calls.ErrPromise) {
+		return env.fail(ExitFailed, err)
+	}
+	if c.JSON {
+		return env.report(err, func() error { return env.printJSON(result) })
+	}
+	return env.report(err, func() error { return result.Write(env.Stdout) })
+}
+
+// report prints a result and then fails with the error of the run, if any.
+func (e Env) report(runErr error, print func() error) int {
+	if err := errors.Join(print(), runErr); err != nil {
+		return e.fail(ExitFailed, err)
+	}
+	return ExitOK
+}
+
+type benchMembershipCmd struct {
+	Nodes       []int  `arg:"--nodes" help:"numbers of nodes; by default 25 50 100 200"`
+	DataCentres []int  `arg:"--data-centres" help:"numbers of data centres; by default 3 4 12"`
+	Runs        int    `arg:"--runs" default:"2" help:"repetitions, each with the next seed"`
+	Seed        uint64 `arg:"--seed" default:"1" help:"first seed"`
+	Plot        string `arg:"--plot" placeholder:"FILE" help:"draw the result as PNG"`
+	JSON        bool   `arg:"--json" help:"print JSON"`
+}
+
+func (*benchMembershipCmd) example() string {
+	return "tarragondrum bench membership --nodes 25 50 --data-centres 3 --plot membership.png"
+}
+
+func (c *benchMembershipCmd) run(_ context.Context, env Env) int {
+	o := membershipbench.DefaultOptions()
+	o.Runs, o.Seed, o.Plot, o.Progress = c.Runs, c.Seed, c.Plot, env.Stderr
+	if len(c.Nodes) > 0 {
+		o.Nodes = c.Nodes
+		o.WireNodes = c.Nodes
+	}
+	if len(c.DataCentres) > 0 {
+		o.DataCentres = c.DataCentres
+	}
+	result, err := membershipbench.Run(o)
+	if err != nil {
+		return env.fail(ExitFailed, err)
+	}
+	if c.JSON {
+		return env.report(nil, func() error { return env.printJSON(result) })
+	}
+	return env.report(nil, func() error { return result.Print(env.Stdout) })
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -72,6 +72,7 @@
 	Handover   *handoverCmd   `arg:"subcommand:handover" help:"show what is in force, who accepted it and how far it is"`
 	Upstream   *upstreamCmd   `arg:"subcommand:upstream" help:"list and drain the upstreams of a host"`
 	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"list and lift calls that crashed upstreams"`
+	Bench      *benchCmd      `arg:"subcommand:bench" help:"measure the system on its stand-ins"`
 	Version    *versionCmd    `arg:"subcommand:version" help:"print the version of this program"`
 }
 
