Answer "not run" only if no try ran, and eject on the failures of all senders

Each sender had to fail five times before it left an upstream that fails its calls. A stopping node refused callers while it could still serve them. Change: the answer speaks for all tries of a call, also for the second attempt on a new connection. An upstream's node reports the failures in a row of all senders with the load. A stopping node closes its listener first and serves what still comes over open connections.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -53,6 +53,8 @@
 	Queued  int
 	// Limit is the number of calls that may run at the same time now.
 	Limit int
+	// Failed is the number of failed calls in a row. The queue leaves it zero.
+	Failed int
 }
 
 // Event is the end of a call's wait.
--- a/pkg/outlier/outlier.go
+++ b/pkg/outlier/outlier.go
@@ -40,8 +40,10 @@
 }
 
 // Record takes in the outcome of a call and reports whether the endpoint should
-// be ejected. The caller asks Allowed and then calls Eject.
-func (e *Endpoint) Record(now time.Time, ok bool) bool {
+// be ejected. inARow is the number of failures in a row that the endpoint's own
+// node counts over all senders, so that not every sender has to fail as often.
+// The caller asks Allowed and then calls Eject.
+func (e *Endpoint) Record(now time.Time, ok bool, inARow int) bool {
 	if now.Sub(e.window) >= windowLength {
 		e.window = now
 		e.calls, e.failures = 0, 0
@@ -57,7 +59,7 @@
 	if e.out {
 		return false
 	}
-	if e.consecutive >= maxConsecutive {
+	if max(e.consecutive, inARow) >= maxConsecutive {
 		return true
 	}
 	return e.calls >= minCalls && float64(e.failures) > maxFailureShare*float64(e.calls)
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -14,7 +14,7 @@
 
 func fail(e *outlier.Endpoint, now time.Time, n int) (eject bool) {
 	for range n {
-		eject = e.Record(now, false)
+		eject = e.Record(now, false, 0)
 	}
 	return eject
 }
@@ -23,9 +23,19 @@
 	is := is.New(t)
 	var e outlier.Endpoint
 	is.Equal(fail(&e, epoch, 4), false)
-	e.Record(epoch, true)
+	e.Record(epoch, true, 0)
 	is.Equal(fail(&e, epoch, 4), false)
-	is.Equal(e.Record(epoch, false), true)
+	is.Equal(e.Record(epoch, false, 0), true)
+}
+
+// One failure is enough when the endpoint's node has counted many, and a good
+// call is a good call whatever was counted.
+func TestFailuresOfOthersCount(t *testing.T) {
+	is := is.New(t)
+	var e outlier.Endpoint
+	is.Equal(e.Record(epoch, false, 4), false)
+	is.Equal(e.Record(epoch, true, 9), false)
+	is.Equal(e.Record(epoch, false, 5), true)
 }
 
 // An endpoint that answers its probes but fails most calls is found by its share.
@@ -34,9 +44,9 @@
 	var e outlier.Endpoint
 	eject := false
 	for range 20 {
-		e.Record(epoch, true)
-		e.Record(epoch, false)
-		eject = e.Record(epoch, false) || eject
+		e.Record(epoch, true, 0)
+		e.Record(epoch, false, 0)
+		eject = e.Record(epoch, false, 0) || eject
 	}
 	is.True(eject)
 }
@@ -57,11 +67,11 @@
 	is.Equal(lengths, []time.Duration{5 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second})
 	is.True(e.Weight() < 0.11)
 	for range 5 {
-		e.Record(now, true)
+		e.Record(now, true, 0)
 	}
 	is.True(e.Weight() > 0.5 && e.Weight() < 0.7)
 	for range 5 {
-		e.Record(now, true)
+		e.Record(now, true, 0)
 	}
 	is.True(e.Weight() > 0.99)
 }
@@ -76,7 +86,7 @@
 		for range rapid.IntRange(0, 200).Draw(t, "calls") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			e := &endpoints[rapid.IntRange(0, total-1).Draw(t, "endpoint")]
-			if !e.Record(now, rapid.Float64Range(0, 1).Draw(t, "luck") > 0.8) {
+			if !e.Record(now, rapid.Float64Range(0, 1).Draw(t, "luck") > 0.8, rapid.IntRange(0, 8).Draw(t, "in a row")) {
 				continue
 			}
 			out := 0
--- a/pkg/proxy/fault_test.go
+++ b/pkg/proxy/fault_test.go
@@ -148,6 +148,23 @@
 	is.Equal(do(t, "GET", near.url("/"), "").status, 200)
 }
 
+// A call of which one try may have run is never answered as not run, whatever
+// the last try says.
+func TestEffectsOfAllTriesCount(t *testing.T) {
+	is := is.New(t)
+	near, far := two(t)
+	ready := make(chan struct{})
+	var ln net.Listener
+	ln = raw(t, far, "crashes", func(net.Conn) { <-ready; _ = ln.Close() })
+	close(ready)
+	settle(t, near, 1)
+	a := do(t, "GET", near.url("/shades"), "") // broken, and then refused
+	is.Equal(a.reason(), "reply-broken")
+	is.Equal(a.effect(), "unknown")
+	is.True(strings.Contains(a.body, `"effect":"unknown"`))
+	is.Equal(near.counted(t, "call_retries_total", "reply-broken"), 1.0)
+}
+
 // A connection that nobody takes is retried elsewhere, for orders too.
 func TestRefusedConnectionIsRetriedElsewhere(t *testing.T) {
 	is := is.New(t)
--- a/pkg/proxy/forwarder.go
+++ b/pkg/proxy/forwarder.go
@@ -40,12 +40,13 @@
 	e := f.table.entry(c.service)
 	e.call(c.budget)
 	var tried []routing.Key
-	last := refuse(reason.NoUpstream)
+	var last answer
+	var all outcomes
 	for number := 1; ; number++ {
 		p, refusal := f.place(c, e, tried)
 		if refusal != nil {
 			if number > 1 {
-				return last, noop
+				refusal = &last
 			}
 			return *refusal, noop
 		}
@@ -53,7 +54,9 @@
 		if !a.failed() {
 			return a, done
 		}
-		if !f.again(c, e, &a, number) {
+		again := f.again(c, e, &a, number)
+		all.add(&a)
+		if !again {
 			return a, done
 		}
 		done(nil)
@@ -65,6 +68,31 @@
 	}
 }
 
+// outcomes is what the tries of a call tell together.
+type outcomes struct {
+	effect reason.Effect // empty before the first try
+	// reason is that of the newest try that may have run.
+	reason reason.Reason
+}
+
+// add takes in a failed try and makes its answer speak for all tries: if an
+// earlier one may have run, the call may have, for that try's reason.
+func (o *outcomes) add(a *answer) {
+	own := a.effect
+	if o.effect == "" {
+		o.effect = own
+	}
+	o.effect = retry.Together(o.effect, own)
+	if own != reason.NotRun {
+		o.reason = a.reason
+		return
+	}
+	if o.effect != reason.NotRun {
+		a.close()
+		a.reply, a.reason, a.effect = nil, o.reason, o.effect
+	}
+}
+
 // close gives up the reply of a try that is not passed on.
 func (a *answer) close() {
 	if a.reply != nil {
@@ -147,7 +175,7 @@
 func judge(c *call, a *answer, err error) verdict {
 	switch a.reason {
 	case "":
-		if err != nil || a.reply.Header.StatusCode() >= 500 {
+		if err != nil || !isGood(a) {
 			return verdictBad
 		}
 		return verdictGood
@@ -179,10 +207,18 @@
 		replayed: len(h.Peek(reason.HeaderReplayed)) > 0,
 		load:     string(h.Peek(HeaderLoad)),
 	}
-	if a.failed() && len(h.Peek(reason.HeaderRetryAfter)) > 0 {
+	if !a.failed() {
+		return a, noop
+	}
+	if len(h.Peek(reason.HeaderRetryAfter)) > 0 {
 		a.retryAfter = parseRetryAfter(h.Peek(reason.HeaderRetryAfter))
 		h.Del(reason.HeaderRetryAfter)
 	}
+	if a.reason != reason.Shed {
+		// The refusal is written anew, as its effect may change with other tries.
+		reply.Close()
+		a.reply = nil
+	}
 	return a, noop
 }
 
--- a/pkg/proxy/handle.go
+++ b/pkg/proxy/handle.go
@@ -44,10 +44,6 @@
 		s.refuse(rc, route.Class, refuse(reason.NoRoute))
 		return
 	}
-	if s.stopping.Load() && !trusted {
-		s.refuse(rc, route.Class, refuse(reason.NodeStopping))
-		return
-	}
 	c := &call{
 		start:    start,
 		service:  svc.Name,
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -123,28 +123,29 @@
 
 // encodeLoad writes the value of HeaderLoad.
 func encodeLoad(l admission.Load) string {
-	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Queued) + " " + strconv.Itoa(l.Limit)
+	b := make([]byte, 0, 16)
+	for i, n := range [...]int{l.Running, l.Queued, l.Limit, l.Failed} {
+		if i > 0 {
+			b = append(b, ' ')
+		}
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
 }
 
 // parseLoad reads the value of HeaderLoad. A malformed value counts as absent.
 func parseLoad(value string) (admission.Load, bool) {
-	running, rest, ok := strings.Cut(value, " ")
-	queued, limit, ok2 := strings.Cut(rest, " ")
-	if !ok || !ok2 {
-		return admission.Load{}, false
-	}
 	var l admission.Load
-	for _, f := range []struct {
-		text string
-		to   *int
-	}{{running, &l.Running}, {queued, &l.Queued}, {limit, &l.Limit}} {
-		n, err := strconv.ParseUint(f.text, 10, 20)
+	for _, to := range [...]*int{&l.Running, &l.Queued, &l.Limit, &l.Failed} {
+		var text string
+		text, value, _ = strings.Cut(value, " ")
+		n, err := strconv.ParseUint(text, 10, 20)
 		if err != nil {
 			return admission.Load{}, false
 		}
-		*f.to = int(n)
+		*to = int(n)
 	}
-	return l, true
+	return l, value == ""
 }
 
 // hopByHop lists the headers that concern one connection only, in lower case.
--- a/pkg/proxy/receiver.go
+++ b/pkg/proxy/receiver.go
@@ -61,19 +61,24 @@
 		end = r.guard.Begin(i.Name(), c.fingerprint)
 	}
 	a, failure := r.exchange(c, i)
-	a.load = encodeLoad(i.Load())
 	done := func(streamErr error) {
 		crashed := (broke(failure) || streamErr != nil) && r.upstreams.Suspect(i)
 		end(crashed)
-		slot.Done(outcome(&a, streamErr))
+		slot.Done(outcome(&a, streamErr), streamErr == nil && isGood(&a))
 	}
 	if a.reply == nil || a.reply.Stream == nil {
 		done(nil)
-		return a, noop
+		done = noop
 	}
+	a.load = encodeLoad(i.Load())
 	return a, done
 }
 
+// isGood reports whether the upstream answered without an error of its own.
+func isGood(a *answer) bool {
+	return !a.failed() && a.reply.Header.StatusCode() < 500
+}
+
 // broke reports whether the connection ended in the middle of the call.
 func broke(e *client.Error) bool {
 	return e != nil && (e.Kind == client.KindBroken || e.Kind == client.KindConnect)
@@ -99,6 +104,9 @@
 	failure := i.Pool().Do(c.ctx, c.request(time.Now()), reply)
 	if failure != nil && failure.Stale && c.idempotent && c.replayable() {
 		failure = i.Pool().Do(c.ctx, c.request(time.Now()), reply)
+		if failure != nil {
+			failure.Sent = true // by the first attempt
+		}
 	}
 	if failure != nil {
 		return failureAnswer(failure), failure
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -92,12 +92,13 @@
 // closeNew makes every connection close after its next answer.
 func (l *listener) closeNew() { l.stopping.Store(true) }
 
-// stop waits until no call is in flight or ctx ends and closes the listener and
-// its connections.
+// stop closes the listener, serves the calls that still come over open
+// connections, each of which then closes, and returns when none is in flight or
+// ctx ends.
 func (l *listener) stop(ctx context.Context) error {
 	l.closeNew()
-	err := l.awaitIdle(ctx)
 	_ = l.guard.Close()
+	err := l.awaitIdle(ctx)
 	l.guard.closeIdle()
 	if err != nil {
 		l.guard.closeAll()
--- a/pkg/proxy/shared.go
+++ b/pkg/proxy/shared.go
@@ -45,8 +45,8 @@
 type shared struct {
 	options Options
 	metrics *Metrics
-	// stopping is set while the node stops and refuses new calls from outside;
-	// calls of its own upstreams go on.
+	// stopping is set once the node's upstreams are drained: calls from other
+	// nodes are then refused. Callers are served until the listener is closed.
 	stopping atomic.Bool
 
 	members   membership.Source
--- a/pkg/proxy/table.go
+++ b/pkg/proxy/table.go
@@ -240,14 +240,15 @@
 func (e *entry) done(p *routing.Endpoint, c *call, load string, v verdict, took time.Duration, now time.Time) change {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if l, ok := parseLoad(load); ok {
+	l, ok := parseLoad(load)
+	if ok {
 		p.State.Report(now, l.Running, l.Queued, l.Limit)
 	}
 	p.State.InFlight--
 	if v == verdictNone {
 		return changeNone
 	}
-	bad := p.State.Outlier.Record(now, v == verdictGood)
+	bad := p.State.Outlier.Record(now, v == verdictGood, l.Failed)
 	if v == verdictGood {
 		p.State.Took(took)
 		if p.State.Away && !p.State.Outlier.Ejected(now) {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -80,6 +80,15 @@
 	return Stop
 }
 
+// Together returns what several tries of one call tell about it, given what the
+// earlier ones and the last one tell: it did not run only if no try ran.
+func Together(earlier, last reason.Effect) reason.Effect {
+	if last == reason.NotRun && earlier != reason.NotRun {
+		return reason.Unknown
+	}
+	return last
+}
+
 // IsFree reports whether a refusal cost no upstream any work.
 func IsFree(r reason.Reason) bool {
 	switch r {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// Several tries tell "not run" only if each of them does.
+func TestTriesTogetherAreNotRunOnlyIfAllAre(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		effects := rapid.SliceOfN(rapid.SampledFrom([]reason.Effect{reason.NotRun, reason.Run, reason.Unknown}), 1, 5).Draw(t, "effects")
+		together, ran := reason.NotRun, false
+		for _, e := range effects {
+			together = retry.Together(together, e)
+			ran = ran || e != reason.NotRun
+		}
+		if ran == (together == reason.NotRun) {
+			t.Fatalf("%v together are %q", effects, together)
+		}
+		if last := effects[len(effects)-1]; last == reason.Run && together != reason.Run {
+			t.Fatalf("%v together are %q", effects, together)
+		}
+	})
+}
+
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(1, 100).Draw(t, "percent")
--- a/pkg/upstream/instance.go
+++ b/pkg/upstream/instance.go
@@ -76,7 +76,9 @@
 func (i *Instance) Load() admission.Load {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.queue.Load()
+	l := i.queue.Load()
+	l.Failed = i.health.failedCalls
+	return l
 }
 
 // snapshot returns the announcement with the current state.
@@ -194,8 +196,9 @@
 	return nil, &Refusal{Reason: e.Reason, RetryAfter: e.RetryAfter}
 }
 
-// Done gives the slot back.
-func (s *Slot) Done(o admission.Outcome) {
+// Done gives the slot back. good tells that the upstream answered the call and
+// not with an error of its own.
+func (s *Slot) Done(o admission.Outcome, good bool) {
 	i := s.instance
 	now := time.Now()
 	i.mu.Lock()
@@ -205,7 +208,9 @@
 	if after := i.queue.Load().Limit; after != before {
 		i.log.Emit(event.LimitChanged, event.F("upstream", i.announced.Name), event.F("from", before), event.F("to", after))
 	}
-	i.health.observe(o == admission.OutcomeOK)
+	if o != admission.OutcomeShed {
+		i.health.observe(good)
+	}
 	i.leave()
 	i.deliver(now)
 }
--- a/pkg/upstream/service_test.go
+++ b/pkg/upstream/service_test.go
@@ -116,7 +116,7 @@
 	}
 	is.Equal(got["tarragondrum_upstream_running_calls"], 1.0)
 	is.Equal(got["tarragondrum_upstream_limit_calls"], 1.0)
-	slot.Done(admission.OutcomeOK)
+	slot.Done(admission.OutcomeOK, true)
 }
 
 func TestBadAnnouncementsAreRefused(t *testing.T) {
@@ -153,7 +153,7 @@
 		_, r := i.Acquire(t.Context(), model.ClassOrder, time.Now().Add(time.Millisecond))
 		return r != nil && r.Reason == reason.UpstreamLeaving
 	})
-	slot.Done(admission.OutcomeOK)
+	slot.Done(admission.OutcomeOK, true)
 	is.NoErr(<-drained)
 	is.Equal(p.states(), []model.UpstreamState{model.UpstreamRunning, model.UpstreamLeaving, model.UpstreamDrained})
 	is.True(errors.Is(svc.Drain(t.Context(), "other"), upstream.ErrUnknown))
@@ -174,7 +174,7 @@
 	eventually(t, "the second call waits", func() bool { return i.Load().Queued == 1 })
 	is.True(errors.Is(svc.Drain(t.Context(), "u"), upstream.ErrInFlight))
 	is.Equal((<-waiting).Reason, reason.UpstreamLeaving)
-	slot.Done(admission.OutcomeOK)
+	slot.Done(admission.OutcomeOK, true)
 }
 
 // A waiting call whose caller goes gives its place up.
@@ -195,7 +195,7 @@
 	cancel()
 	is.Equal((<-waiting).Reason, reason.CallerGone)
 	is.Equal(i.Load().Queued, 0)
-	slot.Done(admission.OutcomeOK)
+	slot.Done(admission.OutcomeOK, true)
 	is.Equal(i.Load().Running, 0)
 }
 
@@ -226,7 +226,7 @@
 	call := func(o admission.Outcome) {
 		slot, refusal := i.Acquire(t.Context(), model.ClassInteractive, time.Now().Add(time.Minute))
 		is.True(refusal == nil)
-		slot.Done(o)
+		slot.Done(o, o == admission.OutcomeOK)
 	}
 	eventually(t, "the probe has failed often", func() bool { return probes.Load() > 10 })
 	call(admission.OutcomeOK)
