--- a/pkg/bundlestore/bundlestore.go
+++ b/pkg/bundlestore/bundlestore.go
@@ -128,9 +128,12 @@
 	Services int       `json:"services"`
 	Routes   int       `json:"routes"`
 	State    State     `json:"state"`
-	// Version is the version that a sign-off gives or gave to the bundle; zero
-	// before the first sign-off.
-	Version model.Version `json:"version,omitempty"`
+	// Claimed is the version that the latest sign-off would give to the bundle;
+	// zero before the first sign-off.
+	Claimed model.Version `json:"claimed,omitempty"`
+	// Accepted is the latest version that is known to have put the bundle in
+	// force; zero if there is none.
+	Accepted model.Version `json:"accepted,omitempty"`
 }
 
 type partValue struct {
--- a/pkg/bundlestore/bundlestore_test.go
+++ b/pkg/bundlestore/bundlestore_test.go
@@ -191,17 +191,17 @@
 	ctx := t.Context()
 	store := fake.New()
 	id := save(t, store, named("one"))
-	_, err := bundlestore.Claim(ctx, store, id, 1)
+	_, err := bundlestore.Claim(ctx, store, id, 1, false)
 	is.NoErr(err)
 	is.True(errors.Is(bundlestore.Withdraw(ctx, store, id), bundlestore.ErrState))
 
 	// Another bundle becomes version 1, so that the sign-off has lost.
 	accept(t, store, save(t, store, named("two")))
 	is.NoErr(bundlestore.Withdraw(ctx, store, id))
-	_, err = bundlestore.Claim(ctx, store, id, 2)
+	_, err = bundlestore.Claim(ctx, store, id, 2, false)
 	is.True(errors.Is(err, bundlestore.ErrState))
 	save(t, store, named("one")) // until it is prepared again
-	_, err = bundlestore.Claim(ctx, store, id, 2)
+	_, err = bundlestore.Claim(ctx, store, id, 2, false)
 	is.NoErr(err)
 }
 
@@ -224,11 +224,11 @@
 	store := fake.New()
 	ids := []bundle.ID{save(t, store, named("one")), save(t, store, named("two")), save(t, store, named("three"))}
 	for i, id := range ids[:2] {
-		_, err := bundlestore.Claim(ctx, store, id, model.Version(i+1))
+		_, err := bundlestore.Claim(ctx, store, id, model.Version(i+1), false)
 		is.NoErr(err)
 		accept(t, store, id)
 	}
-	is.NoErr(bundlestore.Settle(ctx, store, ids[1], 2, true))
+	is.NoErr(bundlestore.Settle(ctx, store, ids[1]))
 	entries, _, err := bundlestore.List(ctx, store)
 	is.NoErr(err)
 	states := make(map[bundle.ID]bundlestore.State)
@@ -244,13 +244,59 @@
 	is.True(errors.Is(err, bundlestore.ErrNotPrepared))
 }
 
+// Older content that is prepared again is on the list of what waits, under the
+// name of who prepared it now; a lost sign-off leaves it there.
+func TestSupersededBundleWaitsAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	one, two, three := named("one"), named("two"), named("three")
+	for i, b := range []bundle.Bundle{one, two} {
+		id := save(t, store, b)
+		_, err := bundlestore.Claim(ctx, store, id, model.Version(i+1), false)
+		is.NoErr(err)
+		accept(t, store, id)
+	}
+	id, err := bundlestore.Save(ctx, store, &one, bundlestore.Meta{Preparer: "mihai"})
+	is.NoErr(err)
+	expectWaiting := func() {
+		t.Helper()
+		entries, _, err := bundlestore.List(ctx, store)
+		is.NoErr(err)
+		waiting := bundlestore.Waiting(entries)
+		is.Equal(len(waiting), 1)
+		is.Equal(waiting[0].Bundle, id)
+		is.Equal(waiting[0].Meta.Preparer, "mihai")
+		is.Equal(waiting[0].Accepted, model.Version(1))
+	}
+	expectWaiting()
+	_, err = bundlestore.Claim(ctx, store, id, 3, false)
+	is.NoErr(err)
+	expectWaiting() // while it is signed off
+	accept(t, store, save(t, store, three))
+	expectWaiting() // after it has lost
+}
+
+func TestBundleInForceIsOnlySignedAgainOnRequest(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := fake.New()
+	id := save(t, store, named("one"))
+	accept(t, store, id)
+	_, err := bundlestore.Claim(ctx, store, id, 2, false)
+	is.True(errors.Is(err, bundlestore.ErrState))
+	_, err = bundlestore.Claim(ctx, store, id, 2, true)
+	is.NoErr(err)
+	is.True(errors.Is(bundlestore.Remove(ctx, store, id), bundlestore.ErrState))
+}
+
 func TestRetention(t *testing.T) {
 	is := is.New(t)
 	store := fake.New()
 	for i := range 6 {
 		id := save(t, store, named(fmt.Sprintf("s%d", i)))
 		if i < 4 {
-			_, err := bundlestore.Claim(t.Context(), store, id, model.Version(i+1))
+			_, err := bundlestore.Claim(t.Context(), store, id, model.Version(i+1), false)
 			is.NoErr(err)
 			accept(t, store, id)
 		}
@@ -317,7 +363,7 @@
 // is not readable.
 func signOff(t *testing.T, store platform.Store, id bundle.ID) {
 	t.Helper()
-	if _, err := bundlestore.Claim(t.Context(), store, id, 1); err != nil {
+	if _, err := bundlestore.Claim(t.Context(), store, id, 1, false); err != nil {
 		return
 	}
 	if _, err := bundlestore.Load(t.Context(), store, id); err == nil {
--- a/pkg/bundlestore/lifecycle.go
+++ b/pkg/bundlestore/lifecycle.go
@@ -37,6 +37,7 @@
 	triggerSign     trigger = "sign off"
 	triggerAccept   trigger = "accept"
 	triggerLose     trigger = "lose the sign-off"
+	triggerPrepare  trigger = "prepare again"
 	triggerWithdraw trigger = "withdraw"
 )
 
@@ -54,8 +55,10 @@
 		Permit(triggerAccept, StateAccepted).
 		Permit(triggerLose, StatePrepared)
 	m.Configure(StateAccepted).
-		Ignore(triggerAccept)
+		Ignore(triggerAccept).
+		Permit(triggerSign, StateSigning)
 	m.Configure(StateSuperseded).
+		Permit(triggerPrepare, StatePrepared).
 		Permit(triggerSign, StateSigning).
 		Permit(triggerWithdraw, StateWithdrawn)
 	m.Configure(StateWithdrawn).
@@ -78,30 +81,40 @@
 }
 
 // StateAt returns the state of the bundle beside a head that was read after the
-// manifest. A sign-off whose version the head has passed is over: it either won,
-// and the head lists it, or lost.
-func (m *Manifest) StateAt(h *Head) State {
-	if h.Acceptance.Version > 0 && h.Acceptance.Bundle == m.Bundle {
+// manifest.
+func (m Manifest) StateAt(h *Head) State {
+	m.settle(h)
+	inForce := h.Acceptance.Version > 0 && h.Acceptance.Bundle == m.Bundle
+	switch {
+	case m.State == StateSigning:
+		return StateSigning
+	case inForce:
 		return StateAccepted
-	}
-	switch m.State {
-	case StateAccepted:
+	case m.State == StateAccepted:
 		return StateSuperseded
-	case StateSigning:
-		return m.signingAt(h)
 	}
 	return m.State
 }
 
-func (m *Manifest) signingAt(h *Head) State {
-	if h.Acceptance.Version < m.Version {
-		return StateSigning
+// settle ends a claim whose version the head has passed: the sign-off either
+// won, and the head lists it, or can no longer win. Where the head no longer
+// lists the version, the bundle counts as accepted, which keeps it longer.
+func (m *Manifest) settle(h *Head) {
+	if m.State != StateSigning || h.Acceptance.Version < m.Claimed {
+		return
+	}
+	id, listed := h.bundleOf(m.Claimed)
+	won := listed && id == m.Bundle
+	if won {
+		m.Accepted = m.Claimed
+	}
+	t := triggerAccept
+	if listed && !won {
+		t = triggerLose
 	}
-	id, ok := h.bundleOf(m.Version)
-	if ok && id != m.Bundle {
-		return StatePrepared
+	if next, err := step(m.State, t); err == nil {
+		m.State = next
 	}
-	return StateSuperseded
 }
 
 // bundleOf returns the bundle that a version put in force, if the head lists it.
--- a/pkg/bundlestore/list.go
+++ b/pkg/bundlestore/list.go
@@ -61,8 +61,8 @@
 	Waiting time.Duration
 	// MaxWaiting bounds the prepared bundles that wait; the oldest go first.
 	MaxWaiting int
-	// MaxSuperseded bounds the superseded bundles; those of the lowest versions
-	// go first.
+	// MaxSuperseded bounds the bundles that were in force once; those of the
+	// lowest versions go first.
 	MaxSuperseded int
 	// MaxRemovals bounds the removals of one run.
 	MaxRemovals int
@@ -83,19 +83,19 @@
 	var waiting int
 	var superseded []Entry
 	for _, e := range entries {
-		switch e.State {
-		case StateWithdrawn:
+		switch {
+		case e.State == StateWithdrawn:
 			ids = append(ids, e.Bundle)
-		case StatePrepared, StateStoring:
+		case e.State == StateSuperseded || (e.State == StatePrepared && e.Accepted > 0):
+			superseded = append(superseded, e)
+		case e.State == StatePrepared || e.State == StateStoring:
 			waiting++
 			if waiting > r.MaxWaiting || now.Sub(e.Meta.Time) > r.Waiting {
 				ids = append(ids, e.Bundle)
 			}
-		case StateSuperseded:
-			superseded = append(superseded, e)
 		}
 	}
-	slices.SortStableFunc(superseded, func(a, b Entry) int { return cmp.Compare(b.Version, a.Version) })
+	slices.SortStableFunc(superseded, func(a, b Entry) int { return cmp.Compare(b.Claimed, a.Claimed) })
 	for _, e := range superseded[min(len(superseded), r.MaxSuperseded):] {
 		ids = append(ids, e.Bundle)
 	}
--- a/pkg/bundlestore/save.go
+++ b/pkg/bundlestore/save.go
@@ -19,9 +19,10 @@
 	data []byte
 }
 
-// Save stores a normalized bundle and returns its id. Saving content that is
-// stored already changes nothing, but for parts that are missing or damaged,
-// which it repairs; the first preparer stays on record.
+// Save stores a normalized bundle and returns its id. Saving content that waits
+// or is in force already changes nothing, but for parts that are missing or
+// damaged, which it repairs; the first preparer stays on record. Content that was
+// superseded waits again.
 //
 // The manifest stands, as storing, before the parts are written and becomes
 // prepared after them, only if it was not touched in between. Remove relies on
@@ -62,7 +63,8 @@
 	}
 	if stored.State != StateStoring {
 		if _, err := loadParts(ctx, store, stored); err == nil {
-			return true, nil
+			err = prepareAgain(ctx, store, stored, m.Meta)
+			return err == nil, err
 		}
 	}
 	for _, c := range chunks {
@@ -80,6 +82,24 @@
 	return err == nil, err
 }
 
+// prepareAgain lets a superseded bundle wait for a sign-off once more, under the
+// name of who prepared it now. In any other state nothing changes.
+func prepareAgain(ctx context.Context, store platform.Store, stored Manifest, meta Meta) error {
+	if stored.State != StateAccepted && stored.State != StateSigning {
+		return nil
+	}
+	_, err := update(ctx, store, stored.Bundle, func(m *Manifest, h *Head) (bool, error) {
+		m.settle(h)
+		next, err := step(m.StateAt(h), triggerPrepare)
+		if err != nil {
+			return false, nil //nolint:nilerr // not superseded: nothing to do
+		}
+		m.State, m.Meta = next, meta
+		return true, nil
+	})
+	return err
+}
+
 // beginSave makes sure that a manifest with the given parts stands and returns
 // it with its revision.
 func beginSave(ctx context.Context, store platform.Store, m Manifest) (Manifest, platform.Revision, error) {
@@ -96,7 +116,8 @@
 		}
 	default:
 		// Another encoding of the same content: keep who prepared it and its state.
-		m.Meta, m.State, m.Version = stored.Meta, stored.State, stored.Version
+		m.Meta, m.State = stored.Meta, stored.State
+		m.Claimed, m.Accepted = stored.Claimed, stored.Accepted
 	}
 	revision, err = putManifest(ctx, store, m, revision)
 	return m, revision, err
--- a/pkg/bundlestore/update.go
+++ b/pkg/bundlestore/update.go
@@ -13,42 +13,35 @@
 
 // Claim marks a bundle as being signed off as the given version, so that it
 // cannot be removed meanwhile. The head must have been read before; its update
-// follows. Claiming again is harmless.
-func Claim(ctx context.Context, store platform.Store, id bundle.ID, version model.Version) (Manifest, error) {
+// follows. Claiming again is harmless. A bundle that is in force is only claimed
+// if again is set.
+func Claim(ctx context.Context, store platform.Store, id bundle.ID, version model.Version, again bool) (Manifest, error) {
 	return update(ctx, store, id, func(m *Manifest, h *Head) (bool, error) {
+		m.settle(h)
 		state := m.StateAt(h)
-		if state == StateAccepted {
+		if state == StateAccepted && !again {
 			return false, fmt.Errorf("bundle %.12s is in force as version %d: %w", id, h.Acceptance.Version, ErrState)
 		}
 		next, err := step(state, triggerSign)
 		if err != nil {
 			return false, fmt.Errorf("sign off bundle %.12s: %w", id, err)
 		}
-		if m.State == next && m.Version >= version {
+		if m.State == next && m.Claimed >= version {
 			return false, nil
 		}
-		m.State, m.Version = next, version
+		m.State, m.Claimed = next, version
 		return true, nil
 	})
 }
 
-// Settle records how the sign-off of a claimed bundle ended. It is a help for
-// readers only: StateAt draws the same conclusion from the head.
-func Settle(ctx context.Context, store platform.Store, id bundle.ID, version model.Version, won bool) error {
-	t := triggerLose
-	if won {
-		t = triggerAccept
-	}
-	_, err := update(ctx, store, id, func(m *Manifest, _ *Head) (bool, error) {
-		if m.State != StateSigning || m.Version != version {
-			return false, nil
-		}
-		next, err := step(m.State, t)
-		if err != nil {
-			return false, err
-		}
-		m.State = next
-		return true, nil
+// Settle records how the sign-off of a claimed bundle ended, once the head has
+// reached its version. It is a help for readers only: StateAt draws the same
+// conclusion from the head, as long as the head lists the version.
+func Settle(ctx context.Context, store platform.Store, id bundle.ID) error {
+	_, err := update(ctx, store, id, func(m *Manifest, h *Head) (bool, error) {
+		before := m.State
+		m.settle(h)
+		return m.State != before, nil
 	})
 	return err
 }
--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -124,10 +124,16 @@
 
 	// What show prints can be prepared again, with the same id.
 	is.NoErr(os.WriteFile(h.path("bundle/all.jsonc"), []byte(h.ok("bundle", "show", "1")), 0o600))
-	is.Equal(h.prepare(), first)
+	is.Equal(strings.Count(h.ok("bundle", "check", h.path("bundle")), "1 services"), 1)
 	is.True(strings.Contains(h.ok("bundle", "prepare", "--from-version", "1", "--as", "mihai"), first))
+	is.True(strings.Contains(h.ok("bundle", "status"), "waiting: bundle "+first[:12]+", prepared by mihai"))
 	h.ok(h.signOff(first, "2", "ioana")...) // back to older content is a new version
 	is.True(strings.Contains(h.ok("bundle", "status"), "version 3 is in force: bundle "+first[:12]))
+
+	// The same bundle under another key, before the first one is withdrawn.
+	h.fails(cli.ExitFailed, h.signOff("in-force", "3", "mihai")...)
+	h.ok(append(h.signOff("in-force", "3", "mihai"), "--again")...)
+	is.True(strings.Contains(h.ok("bundle", "status"), "version 4 is in force: bundle "+first[:12]))
 }
 
 func TestSecondOperatorIsToldWhoWhichAndWhen(t *testing.T) {
--- a/pkg/cli/bundlesignoff.go
+++ b/pkg/cli/bundlesignoff.go
@@ -15,11 +15,12 @@
 
 type bundleSignOffCmd struct {
 	platformFlags
-	Bundle        string         `arg:"positional,required" help:"id of the bundle, or its first characters"`
+	Bundle        string         `arg:"positional,required" help:"id of the bundle or its first characters; \"in-force\" with --again"`
 	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that you saw in force, 0 before the first one; required"`
 	Key           string         `arg:"--key" placeholder:"FILE" help:"your private key; required"`
 	As            string         `arg:"--as,env:TARRAGONDRUM_OPERATOR" placeholder:"NAME" help:"your name, as the key's entry in the settings has it; required"`
 	Reason        string         `arg:"--reason" help:"why, shown in the history"`
+	Again         bool           `arg:"--again" help:"sign off the bundle in force once more, for example with a new key"`
 	JSON          bool           `arg:"--json" help:"print JSON"`
 }
 
@@ -65,6 +66,7 @@
 	}
 	a, err := signoff.Accept(ctx, s.store, signoff.Request{
 		Bundle:    id,
+		Again:     c.Again,
 		Expect:    *c.ExpectVersion,
 		Acceptor:  c.As,
 		KeyID:     key.KeyID,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -74,7 +74,7 @@
 	Name      string `json:"name" help:"name of the operator; several keys of one operator may be valid at once; required"`
 	KeyID     string `json:"keyID" help:"name of the key, unique in the file; required"`
 	PublicKey string `json:"publicKey" help:"ed25519 public key in base64, as key generate prints it; required"`
-	Withdrawn bool   `json:"withdrawn" default:"false" help:"whether the key is refused from now on; versions already applied stay in force"`
+	Withdrawn bool   `json:"withdrawn" default:"false" help:"whether the key is refused from now on; a running node keeps the version that it has applied, see docs/operators/bundles.md"`
 }
 
 // Log says what is logged.
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -29,6 +29,9 @@
 // Request asks for a bundle to be put in force.
 type Request struct {
 	Bundle bundle.ID
+	// Again permits to sign off the bundle that is in force, for example with
+	// another key before the one that signed it is withdrawn.
+	Again bool
 	// Expect is the version that the operator saw in force.
 	Expect   model.Version
 	Acceptor string
@@ -93,12 +96,11 @@
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
-	m, err := bundlestore.Claim(ctx, store, r.Bundle, a.Version)
+	m, err := bundlestore.Claim(ctx, store, r.Bundle, a.Version, r.Again)
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
 	if err := check(ctx, store, r.Bundle); err != nil {
-		settle(ctx, store, &a, false)
 		return bundle.Acceptance{}, err
 	}
 	a.Preparer = m.Meta.Preparer
@@ -110,10 +112,8 @@
 		return bundle.Acceptance{}, fmt.Errorf("encode head: %w", err)
 	}
 	a, err = commit(ctx, store, update{acceptance: a, value: value, revision: revision, expect: r.Expect})
-	var unknown *UnknownError
-	if !errors.As(err, &unknown) {
-		settle(ctx, store, &a, err == nil)
-	}
+	// This only tidies the bundle's record; readers find out without it.
+	_ = bundlestore.Settle(ctx, store, r.Bundle)
 	return a, err
 }
 
@@ -129,11 +129,6 @@
 	return nil
 }
 
-// settle tidies the bundle's state; readers find out without it.
-func settle(ctx context.Context, store platform.Store, a *bundle.Acceptance, won bool) {
-	_ = bundlestore.Settle(ctx, store, a.Bundle, a.Version, won)
-}
-
 // sign returns the signed acceptance, but for its preparer, after checking the
 // request and the key.
 func (r *Request) sign(head *bundlestore.Head) (bundle.Acceptance, error) {
