Send owners the extension of their ranges in place of the whole table

Cause: at 18 nodes, the steward of a service sent 9964 bytes/s, more than a node may spend on all control; every poll carried the takers and every extension the whole table. Change: polls name what the sender knows; a reply carries the takers and the table only if they differ, and otherwise the ends of the ranges, which apply only to a table with the same layout digest.

--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -81,6 +81,8 @@
 	name  string
 	book  *order.Book
 	table order.Table
+	// layout is the digest of the table's layout.
+	layout uint64
 	// revision is that of the table's object; empty if not known.
 	revision platform.Revision
 	// heard holds the owners that polled this node.
@@ -188,6 +190,7 @@
 		return
 	}
 	svc.table = t
+	svc.layout = t.Layout()
 	svc.revision = rev
 	svc.book.Adopt(t)
 }
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +56,38 @@
 		c.check()
 	})
 }
+
+// A service of eighteen nodes, the mean at the target size, spends little of the
+// 7 KB/s that a node may spend on control, also at its steward.
+func TestControlBytes(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		var ids []model.NodeID
+		for i := range 18 {
+			ids = append(ids, model.NodeID(fmt.Sprintf("order-desk-%02d", i)))
+		}
+		c := newCluster(t, ids...)
+		defer c.close()
+		time.Sleep(time.Minute)
+		sent := func() (total, most float64) {
+			for _, n := range c.nodes {
+				bytes := 0.0
+				for _, b := range n.transport.Traffic().SentBytes {
+					bytes += float64(b)
+				}
+				total += bytes
+				most = max(most, bytes)
+			}
+			return total, most
+		}
+		total, most := sent()
+		const length = 10 * time.Minute
+		time.Sleep(length)
+		totalAfter, mostAfter := sent()
+		mean := (totalAfter - total) / float64(len(ids)) / length.Seconds()
+		steward := (mostAfter - most) / length.Seconds()
+		t.Logf("orders cost %.0f bytes/s per node, %.0f at the steward", mean, steward)
+		const budget = 7 << 10
+		is.True(mean < budget/10)
+		is.True(steward < budget/2)
+	})
+}
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -11,20 +11,27 @@
 	// Owner is set by nodes that host the service.
 	Owner order.Owner `cbor:"2,keyasint"`
 	// Takes tells that the owner can be given further shards.
-	Takes bool `cbor:"3,keyasint"`
+	Takes bool `cbor:"3,keyasint,omitempty"`
 	// Known is the version of the table that the sender has.
 	Known uint64 `cbor:"4,keyasint"`
 	// Create asks to record owners if there are none yet.
-	Create bool `cbor:"5,keyasint"`
+	Create bool `cbor:"5,keyasint,omitempty"`
+	// Takers is the digest of the takers that the sender knows.
+	Takers uint64 `cbor:"6,keyasint,omitempty"`
+	// Layout is the digest of the layout of the table that the sender has.
+	Layout uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // pollReply carries the table if it is newer than the one known.
 type pollReply struct {
 	Table *order.Table `cbor:"1,keyasint,omitempty"`
-	// Takers are the owners that can be given further shards.
-	Takers []order.Owner `cbor:"2,keyasint"`
+	// Takers are the owners that can be given further shards, if the sender knows
+	// others.
+	Takers []order.Owner `cbor:"2,keyasint,omitempty"`
 	// Down tells that the steward cannot write to the platform.
 	Down bool `cbor:"3,keyasint,omitempty"`
+	// Extension takes the place of Table if nothing else has changed in it.
+	Extension *order.Extension `cbor:"4,keyasint,omitempty"`
 }
 
 // transferRequest hands records over, or tells of a confirmed table, or both.
--- a/pkg/ledger/steward.go
+++ b/pkg/ledger/steward.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
@@ -109,7 +110,11 @@
 // poll asks a peer for the table of a service.
 func (s *Service) poll(ctx context.Context, name string, p mesh.Peer, create bool) error {
 	s.mu.Lock()
-	req := pollRequest{Service: name, Known: s.service(name).table.Version, Create: create}
+	had := s.service(name)
+	req := pollRequest{
+		Service: name, Create: create,
+		Known: had.table.Version, Layout: had.layout, Takers: digest(had.takers),
+	}
 	s.mu.Unlock()
 	if m, ok := s.source.View().Members[s.self.Node]; ok && hosts(m, name) {
 		req.Owner = s.self
@@ -130,7 +135,9 @@
 	defer s.mu.Unlock()
 	svc := s.service(name)
 	svc.checked = time.Now()
-	svc.takers = reply.Takers
+	if len(reply.Takers) > 0 {
+		svc.takers = reply.Takers
+	}
 	if !reply.Down {
 		svc.outage.note(time.Now(), nil)
 	} else if !svc.outage.failing() {
@@ -139,6 +146,14 @@
 	if reply.Table != nil {
 		s.adopt(svc, *reply.Table, "")
 	}
+	if reply.Extension == nil {
+		return nil
+	}
+	t, err := svc.table.Extended(*reply.Extension)
+	if err != nil {
+		return fmt.Errorf("ledger: poll %q for %q: %w", p.ID, name, err)
+	}
+	s.adopt(svc, t, "")
 	return nil
 }
 
@@ -163,14 +178,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(req.Service)
-	reply := pollReply{Takers: s.alive(svc, true), Down: svc.outage.failing()}
-	if svc.table.Version > req.Known {
+	reply := pollReply{Down: svc.outage.failing()}
+	if takers := s.alive(svc, true); digest(takers) != req.Takers {
+		reply.Takers = takers
+	}
+	switch {
+	case svc.table.Version <= req.Known:
+	case req.Layout == svc.layout:
+		e := svc.table.Extension()
+		reply.Extension = &e
+	default:
 		t := svc.table
 		reply.Table = &t
 	}
 	return reply, nil
 }
 
+// digest returns a short hash of a sorted list of owners.
+func digest(owners []order.Owner) uint64 {
+	h := xxhash.New()
+	for _, o := range owners {
+		_, _ = h.WriteString(string(o.Node) + "\x00" + o.Instance + "\x00")
+	}
+	return h.Sum64()
+}
+
 // hear notes that an owner is alive.
 func (s *Service) hear(req pollRequest) {
 	if req.Owner.Node == "" {
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -287,6 +288,21 @@
 	is.Equal(order.Locate(table, keyBorn(start.Add(-time.Hour), 1), dead).Reason, reason.KeyExpired)
 }
 
+// An extension applies only to a table with the same layout.
+func TestExtension(t *testing.T) {
+	is := is.New(t)
+	_, table := ownAll(order.DefaultLimits())
+	o := table.Last(0).Owner
+	longer, _ := table.Extend(start.Add(time.Minute), order.DefaultLookahead(), []order.Owner{o}, nil)
+	longer.Version = 2
+	got, err := table.Extended(longer.Extension())
+	is.NoErr(err)
+	is.Equal(got, longer)
+	other, _ := table.Cut(o, map[int]order.Birth{3: start}, order.DefaultLookahead(), []order.Owner{{Node: "b", Instance: "1"}})
+	_, err = other.Extended(longer.Extension())
+	is.True(errors.Is(err, order.ErrTable))
+}
+
 // Opaque keys stay claimed for at least one epoch by the first to claim them.
 func TestClaims(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/order/table.go
+++ b/pkg/order/table.go
@@ -1,10 +1,13 @@
 package order
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
@@ -103,6 +106,61 @@
 	return load
 }
 
+// Extension holds what an extension of ranges changes in a table.
+type Extension struct {
+	Version   uint64  `cbor:"1,keyasint"`
+	Operation string  `cbor:"2,keyasint"`
+	Untils    []Birth `cbor:"3,keyasint"`
+	// Layout is the digest of everything else in the table.
+	Layout uint64 `cbor:"4,keyasint"`
+}
+
+// Extension returns the part of t that extensions change.
+func (t Table) Extension() Extension {
+	e := Extension{Version: t.Version, Operation: t.Operation, Untils: make([]Birth, len(t.Shards)), Layout: t.Layout()}
+	for i := range t.Shards {
+		e.Untils[i] = t.Last(i).Until
+	}
+	return e
+}
+
+// Extended returns t with an extension applied. It returns ErrTable if the
+// extension is that of a table with another layout.
+func (t Table) Extended(e Extension) (Table, error) {
+	if len(e.Untils) != len(t.Shards) || e.Layout != t.Layout() {
+		return Table{}, fmt.Errorf("extension of %q does not fit version %d: %w", t.Service, t.Version, ErrTable)
+	}
+	next := t.clone()
+	next.Version, next.Operation = e.Version, e.Operation
+	for i, ranges := range next.Shards {
+		ranges[len(ranges)-1].Until = e.Untils[i]
+	}
+	return next, nil
+}
+
+// Layout returns a digest of everything in t that extensions leave alone.
+func (t Table) Layout() uint64 {
+	h := xxhash.New()
+	var number [8]byte
+	for _, ranges := range t.Shards {
+		for j, r := range ranges {
+			until := r.Until
+			if j == len(ranges)-1 {
+				until = -1
+			}
+			for _, b := range []Birth{r.From, until} {
+				binary.LittleEndian.PutUint64(number[:], uint64(b))
+				_, _ = h.Write(number[:])
+			}
+			for _, text := range []string{string(r.Owner.Node), r.Owner.Instance, r.Transfer} {
+				_, _ = h.WriteString(text)
+				_, _ = h.Write([]byte{0})
+			}
+		}
+	}
+	return h.Sum64()
+}
+
 // clone returns a copy that shares no range with t.
 func (t Table) clone() Table {
 	shards := make([][]Range, len(t.Shards))
