--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -84,7 +84,7 @@
 		c.JSON(http.StatusBadRequest, problem{Error: err.Error()})
 		return
 	}
-	c.JSON(http.StatusOK, u)
+	c.JSON(http.StatusOK, s.options.Upstreams.List())
 }
 
 // drain answers when the upstream has no call in flight.
--- a/pkg/platform/fake/store.go
+++ b/pkg/platform/fake/store.go
@@ -18,8 +18,8 @@
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
 )
 
-// maxLogChanges bounds the changes that a watch can start from; older ones are
-// compacted.
+// maxLogChanges is the number of changes that a watch can start from at least;
+// older ones are compacted now and then.
 const maxLogChanges = 4096
 
 // Store is a platform.Store in memory. It is safe for concurrent use.
@@ -193,7 +193,8 @@
 // record appends to the log and wakes the watches. The lock must be held.
 func (s *Store) record(c platform.Change) {
 	s.log = append(s.log, logged{revision: s.revision, change: c})
-	if over := len(s.log) - maxLogChanges; over > 0 {
+	if len(s.log) > 2*maxLogChanges {
+		over := len(s.log) - maxLogChanges
 		s.compacted = s.log[over-1].revision
 		s.log = append([]logged(nil), s.log[over:]...)
 	}
--- a/pkg/platform/fake/store_test.go
+++ b/pkg/platform/fake/store_test.go
@@ -128,3 +128,22 @@
 		is.True(errors.Is(err, platform.ErrCompacted))
 	})
 }
+
+// The log is bounded: a watch from long ago must list again.
+func TestOldChangesAreCompacted(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	s := fake.New()
+	first, err := s.Put(ctx, key, value("x"), "")
+	is.NoErr(err)
+	revision := first
+	for range 10_000 {
+		revision, err = s.Put(ctx, key, value("x"), revision)
+		is.NoErr(err)
+	}
+	_, err = s.Watch(ctx, key.Collection, first)
+	is.True(errors.Is(err, platform.ErrCompacted))
+	w, err := s.Watch(ctx, key.Collection, revision)
+	is.NoErr(err)
+	is.NoErr(w.Close())
+}
