--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -183,7 +183,7 @@
 
 // While the platform is down, a node answers from what it knows and says how old
 // that is.
-func TestStatusFromANode(t *testing.T) {
+func TestStatusAndRollFromANode(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t)
 	down := true
@@ -202,6 +202,11 @@
 	is.True(strings.Contains(out, "what node cluj-1-a knows, confirmed 1h0m"))
 	is.True(strings.Contains(out, "version 7 is in force: bundle 0123456789ab\n  accepted by mihai"))
 	is.True(strings.Contains(out, "waiting: bundle fedcba987654, prepared by ioana"))
+
+	known.Progress = []rollout.Progress{{DataCentre: "cluj-1", Version: 7, Members: 2, Applied: 2}}
+	out = d.ok("bundle", "roll", "--admin", node.URL)
+	is.True(strings.Contains(out, "following what node cluj-1-a knows"))
+	is.True(strings.Contains(out, "version 7 is in force on all 2 nodes"))
 }
 
 func TestWrongUseChangesNothing(t *testing.T) {
--- a/pkg/cli/bundleroll.go
+++ b/pkg/cli/bundleroll.go
@@ -21,6 +21,7 @@
 
 type bundleRollCmd struct {
 	platformFlags
+	adminFlags
 	Version     model.Version `arg:"--version" placeholder:"N" help:"version to follow; by default the one in force"`
 	DataCentres []string      `arg:"--data-centres" placeholder:"NAME" help:"data centres that must report; by default those that ever did"`
 	Timeout     time.Duration `arg:"--timeout" default:"60s" help:"longest time to wait"`
@@ -51,16 +52,16 @@
 
 func (c *bundleRollCmd) run(ctx context.Context, env Env) int {
 	return c.with(ctx, env, c.Timeout, func(ctx context.Context, s *session) error {
-		head, _, err := bundlestore.ReadHead(ctx, s.store)
+		accepted, err := c.accepted(ctx, s.store)
 		if err != nil {
 			return err
 		}
 		version := c.Version
 		if version == 0 {
-			version = head.Acceptance.Version
+			version = accepted
 		}
-		if version == 0 || version > head.Acceptance.Version {
-			return usagef("version %d has not been accepted; version %d is in force", version, head.Acceptance.Version)
+		if version == 0 || version > accepted {
+			return usagef("version %d has not been accepted; version %d is in force", version, accepted)
 		}
 		report, err := c.follow(ctx, env, s.store, version)
 		if err != nil {
@@ -70,20 +71,41 @@
 	})
 }
 
-// follow reads the roll-out until it is complete or ctx ends. While the
-// platform cannot be read it says so and goes on.
+// accepted returns the version in force, from a node if the platform is down.
+func (c *bundleRollCmd) accepted(ctx context.Context, store platform.Store) (model.Version, error) {
+	head, _, err := bundlestore.ReadHead(ctx, store)
+	if errors.Is(err, platform.ErrUnavailable) {
+		known, err := c.handover(ctx, err)
+		return known.InForce.Version, err
+	}
+	return head.Acceptance.Version, err
+}
+
+// progress returns the roll-out and who told of it.
+func (c *bundleRollCmd) progress(ctx context.Context, store platform.Store) (list []rollout.Progress, source string, err error) {
+	list, err = bundlestore.ReadProgress(ctx, store)
+	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
+		known, err := c.handover(ctx, err)
+		return known.Progress, "node " + string(known.Node), err
+	}
+	return list, sourcePlatform, err
+}
+
+// follow reads the roll-out until it is complete or ctx ends. While neither the
+// platform nor a node can be read it says so and goes on.
 func (c *bundleRollCmd) follow(ctx context.Context, env Env, store platform.Store, version model.Version) (rollReport, error) {
 	view := newRollView(env, c.JSON)
 	report := rollReport{Version: version}
 	for {
-		progress, err := bundlestore.ReadProgress(ctx, store)
+		progress, source, err := c.progress(ctx, store)
 		switch {
 		case err == nil:
+			view.from(source)
 			report = summarize(version, progress, c.DataCentres)
 			view.show(report)
 		case ctx.Err() != nil:
 		case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited):
-			view.say("the platform cannot be read: " + err.Error())
+			view.say("neither the platform nor a node can be read: " + err.Error())
 		default:
 			return report, err
 		}
@@ -168,10 +190,12 @@
 	quiet bool
 	bar   *progressbar.ProgressBar
 	last  string
+	// source is who told of the roll-out last.
+	source string
 }
 
 func newRollView(env Env, quiet bool) *rollView {
-	v := &rollView{env: env, quiet: quiet}
+	v := &rollView{env: env, quiet: quiet, source: sourcePlatform}
 	if f, ok := env.Stdout.(*os.File); ok && !quiet && term.IsTerminal(int(f.Fd())) {
 		v.bar = progressbar.NewOptions(1,
 			progressbar.OptionSetWriter(env.Stdout),
@@ -182,6 +206,19 @@
 	return v
 }
 
+// from says when the roll-out is told by somebody else than before.
+func (v *rollView) from(source string) {
+	if source == v.source {
+		return
+	}
+	v.source = source
+	if source == sourcePlatform {
+		v.say("the platform answers again")
+		return
+	}
+	v.say("the platform does not answer; following what " + source + " knows")
+}
+
 func (v *rollView) show(r rollReport) {
 	if v.bar != nil && r.Members > 0 {
 		v.bar.ChangeMax(r.Members)
--- a/pkg/cli/bundlestatus.go
+++ b/pkg/cli/bundlestatus.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/handover"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/platform"
 	"github.com/tarragondrum/tarragondrum/pkg/rollout"
@@ -84,15 +85,24 @@
 	}, nil
 }
 
-// askNode asks a node for what it knows while the platform does not answer.
-func (c *bundleStatusCmd) askNode(ctx context.Context, s *session, platformErr error) (statusReport, error) {
-	node, err := c.client()
+// handover asks a node for what it knows after the platform did not answer.
+func (f adminFlags) handover(ctx context.Context, platformErr error) (handover.Report, error) {
+	node, err := f.client()
 	if err != nil {
-		return statusReport{}, errors.Join(platformErr, err)
+		return handover.Report{}, errors.Join(platformErr, err)
 	}
 	known, err := node.Handover(ctx)
 	if err != nil {
-		return statusReport{}, errors.Join(platformErr, err)
+		return handover.Report{}, errors.Join(platformErr, err)
+	}
+	return known, nil
+}
+
+// askNode turns what a node knows into a status.
+func (c *bundleStatusCmd) askNode(ctx context.Context, s *session, platformErr error) (statusReport, error) {
+	known, err := c.handover(ctx, platformErr)
+	if err != nil {
+		return statusReport{}, err
 	}
 	r := statusReport{
 		Acceptance: known.InForce,
