Name the harness in the restored test as the others do

Cause: the restored roll test used the former name of its harness. Change: one name. Conclusion: the package's tests build and pass.

--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -204,7 +204,7 @@
 	is.True(strings.Contains(out, "waiting: bundle fedcba987654, prepared by ioana"))
 
 	known.Progress = []rollout.Progress{{DataCentre: "cluj-1", Version: 7, Members: 2, Applied: 2}}
-	out = d.ok("bundle", "roll", "--admin", node.URL)
+	out = h.ok("bundle", "roll", "--admin", node.URL)
 	is.True(strings.Contains(out, "following what node cluj-1-a knows"))
 	is.True(strings.Contains(out, "version 7 is in force on all 2 nodes"))
 }
