--- a/pkg/bundle/source/source.go
+++ b/pkg/bundle/source/source.go
@@ -192,6 +192,6 @@
 call is matched by its exact host first and by routes without a host second,
 then by the longest path prefix, then by method.
 
-Written by ` + "`go test ./pkg/bundle/source -update`" + `.
+Written by ` + "`tarragondrum bundle reference`" + `.
 
 `
--- a/pkg/cli/bundle.go
+++ b/pkg/cli/bundle.go
@@ -28,15 +28,16 @@
 
 // bundleCmd is the group of commands about bundles.
 type bundleCmd struct {
-	Check    *bundleCheckCmd    `arg:"subcommand:check" help:"check a folder without the platform"`
-	Prepare  *bundlePrepareCmd  `arg:"subcommand:prepare" help:"check a folder, store it as a bundle and show what it changes"`
-	SignOff  *bundleSignOffCmd  `arg:"subcommand:sign-off" help:"put a prepared bundle in force"`
-	Roll     *bundleRollCmd     `arg:"subcommand:roll" help:"follow the bundle in force until every node has applied it"`
-	Status   *bundleStatusCmd   `arg:"subcommand:status" help:"show what is in force, what waits and how far the roll-out is"`
-	History  *bundleHistoryCmd  `arg:"subcommand:history" help:"list who accepted what and when"`
-	Diff     *bundleDiffCmd     `arg:"subcommand:diff" help:"show what differs between two bundles"`
-	Show     *bundleShowCmd     `arg:"subcommand:show" help:"print the content of a bundle"`
-	Withdraw *bundleWithdrawCmd `arg:"subcommand:withdraw" help:"take back a prepared bundle"`
+	Check     *bundleCheckCmd     `arg:"subcommand:check" help:"check a folder without the platform"`
+	Prepare   *bundlePrepareCmd   `arg:"subcommand:prepare" help:"check a folder, store it as a bundle and show what it changes"`
+	SignOff   *bundleSignOffCmd   `arg:"subcommand:sign-off" help:"put a prepared bundle in force"`
+	Roll      *bundleRollCmd      `arg:"subcommand:roll" help:"follow the bundle in force until every node has applied it"`
+	Status    *bundleStatusCmd    `arg:"subcommand:status" help:"show what is in force, what waits and how far the roll-out is"`
+	History   *bundleHistoryCmd   `arg:"subcommand:history" help:"list who accepted what and when"`
+	Diff      *bundleDiffCmd      `arg:"subcommand:diff" help:"show what differs between two bundles"`
+	Show      *bundleShowCmd      `arg:"subcommand:show" help:"print the content of a bundle"`
+	Withdraw  *bundleWithdrawCmd  `arg:"subcommand:withdraw" help:"take back a prepared bundle"`
+	Reference *bundleReferenceCmd `arg:"subcommand:reference" help:"print every key of the bundle files with type, default and meaning"`
 }
 
 // platformFlags say how to reach the platform.
--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -322,7 +322,7 @@
 func TestEveryCommandShowsAnExample(t *testing.T) {
 	for _, argv := range []string{
 		"bundle check", "bundle prepare", "bundle sign-off", "bundle roll", "bundle status", "bundle history",
-		"bundle diff", "bundle show", "bundle withdraw", "key generate", "settings check", "settings reference", "platform",
+		"bundle diff", "bundle show", "bundle withdraw", "bundle reference", "key generate", "settings check", "settings reference", "platform",
 	} {
 		t.Run(argv, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/cli/bundleprepare.go
+++ b/pkg/cli/bundleprepare.go
@@ -23,6 +23,17 @@
 	return env.reportCheck(faults, c.JSON, fmt.Sprintf("%d services and %d routes are valid", len(b.Services), len(b.Routes)))
 }
 
+type bundleReferenceCmd struct{}
+
+func (*bundleReferenceCmd) example() string {
+	return "tarragondrum bundle reference > docs/BUNDLE.md"
+}
+
+func (*bundleReferenceCmd) run(_ context.Context, env Env) int {
+	env.printf("%s", source.Reference())
+	return ExitOK
+}
+
 // checkReport is the JSON form of a check.
 type checkReport struct {
 	Faults []bundle.Fault `json:"faults"`
