Tell the poison guard of calls that were never sent

Cause: a call that could not connect to a crashed upstream counted as running at a crash, or as ended well; the first could convict an innocent call, the second clear a poison. Change: poison.End has three values, and a call that was not sent says nothing; the proxy passes it on. Conclusion: only calls that reached an upstream are evidence.

--- a/pkg/node/failures_test.go
+++ b/pkg/node/failures_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/poison"
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
 )
 
@@ -156,7 +157,7 @@
 	run(t, 6, twoCentres, func(c *cluster) {
 		c.settle()
 		crash := func(id model.NodeID) {
-			c.stack(id).guard.Begin("u", poisoned)(true)
+			c.stack(id).guard.Begin("u", poisoned)(poison.EndCrashed)
 			time.Sleep(5 * time.Second)
 		}
 		crash("node-02")
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -6,8 +6,20 @@
 type Guard interface {
 	// Quarantined reports whether calls with the fingerprint are refused.
 	Quarantined(fingerprint uint64) bool
-	// Begin notes that a call runs on an upstream of this host; the returned
-	// function must be called when it ends. crashed tells that the upstream died
-	// while the call was running.
-	Begin(upstream string, fingerprint uint64) (end func(crashed bool))
+	// Begin notes that a call is about to run on an upstream of this host; the
+	// returned function must be called when it ends.
+	Begin(upstream string, fingerprint uint64) (end func(End))
 }
+
+// End tells how a call ended.
+type End string
+
+// The ends of a call.
+const (
+	// EndAlive: the upstream outlived the call, whatever it answered.
+	EndAlive End = "alive"
+	// EndCrashed: the upstream crashed while the call was running.
+	EndCrashed End = "crashed"
+	// EndNotSent: no part of the call reached the upstream.
+	EndNotSent End = "not-sent"
+)
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -52,7 +52,11 @@
 			t.Begin("u", c)
 		}
 		for _, c := range calls {
-			t.End(w.now, "u", c, crash)
+			end := poison.EndAlive
+			if crash {
+				end = poison.EndCrashed
+			}
+			t.End(w.now, "u", c, end)
 		}
 	}
 	return w.judge()
@@ -147,7 +151,7 @@
 	w := newWorld(7, 3, 5)
 	for _, tracker := range w.trackers {
 		tracker.Begin("u", killer)
-		tracker.End(w.now, "u", killer, false)
+		tracker.End(w.now, "u", killer, poison.EndAlive)
 	}
 	crashes := 0
 	for !w.step(4, 0, true)[killer] {
@@ -175,6 +179,20 @@
 	is.True(w.step(4, 0, true)[killer])
 }
 
+// Calls that never reached the upstream are neither suspects nor cleared.
+func TestNotSentSaysNothing(t *testing.T) {
+	is := is.New(t)
+	tracker := poison.NewTracker()
+	for _, end := range []poison.End{poison.EndNotSent, poison.EndCrashed, poison.EndNotSent, poison.EndNotSent} {
+		tracker.Begin("u", killer)
+		tracker.End(epoch, "u", killer, end)
+	}
+	suspects := tracker.Suspects()
+	is.Equal(len(suspects), 1)
+	is.Equal(suspects[0].Crashes, 1)
+	is.Equal(suspects[0].Good, 0)
+}
+
 // Quarantine ends by itself, and the suspects of a node stay bounded.
 func TestRetentionAndBounds(t *testing.T) {
 	is := is.New(t)
@@ -183,7 +201,7 @@
 	for f := range uint64(1000) {
 		now = now.Add(3 * time.Second)
 		tracker.Begin("u", f)
-		tracker.End(now, "u", f, true)
+		tracker.End(now, "u", f, poison.EndCrashed)
 	}
 	is.Equal(len(tracker.Suspects()), poison.MaxSuspects)
 	is.True(tracker.Expire(now.Add(2 * poison.Retention)))
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -70,10 +70,11 @@
 
 // End notes that a call has ended, and reports whether the suspects changed in
 // a way that the peers should hear of.
-func (t *Tracker) End(now time.Time, upstream string, fingerprint uint64, crashed bool) (changed bool) {
-	if crashed {
+func (t *Tracker) End(now time.Time, upstream string, fingerprint uint64, end End) (changed bool) {
+	switch end {
+	case EndCrashed:
 		changed = t.suspect(now, upstream, fingerprint)
-	} else {
+	case EndAlive:
 		changed = t.clear(now, fingerprint)
 	}
 	calls := t.running[upstream]
--- a/pkg/proxy/poison_test.go
+++ b/pkg/proxy/poison_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tarragondrum/tarragondrum/pkg/kernel"
+	"github.com/tarragondrum/tarragondrum/pkg/poison"
 )
 
 // guard quarantines a call after its first crash.
@@ -29,11 +30,11 @@
 	return g.crashed[fingerprint]
 }
 
-func (g *guard) Begin(_ string, fingerprint uint64) func(bool) {
-	return func(crashed bool) {
+func (g *guard) Begin(_ string, fingerprint uint64) func(poison.End) {
+	return func(end poison.End) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if crashed {
+		if end == poison.EndCrashed {
 			g.crashed[fingerprint] = true
 		}
 	}
--- a/pkg/proxy/receiver.go
+++ b/pkg/proxy/receiver.go
@@ -56,14 +56,14 @@
 		a.load = encodeLoad(i.Load())
 		return a, noop
 	}
-	end := func(bool) {}
+	end := func(poison.End) {}
 	if r.guard != nil {
 		end = r.guard.Begin(i.Name(), c.fingerprint)
 	}
 	a, failure := r.exchange(c, i)
 	done := func(streamErr error) {
 		crashed := (broke(failure) || streamErr != nil) && r.upstreams.Suspect(i)
-		end(crashed)
+		end(endOf(failure, crashed))
 		slot.Done(outcome(&a, streamErr), streamErr == nil && isGood(&a))
 	}
 	if a.reply == nil || a.reply.Stream == nil {
@@ -79,6 +79,17 @@
 	return !a.failed() && a.reply.Header.StatusCode() < 500
 }
 
+// endOf tells the guard how a call ended.
+func endOf(failure *client.Error, crashed bool) poison.End {
+	switch {
+	case failure != nil && !failure.Sent:
+		return poison.EndNotSent
+	case crashed:
+		return poison.EndCrashed
+	}
+	return poison.EndAlive
+}
+
 // broke reports whether the connection ended in the middle of the call.
 func broke(e *client.Error) bool {
 	return e != nil && (e.Kind == client.KindBroken || e.Kind == client.KindConnect)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -147,30 +147,28 @@
 }
 
 // Begin implements poison.Guard.
-func (s *Service) Begin(upstream string, fingerprint uint64) (end func(crashed bool)) {
+func (s *Service) Begin(upstream string, fingerprint uint64) (end func(poison.End)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Begin(upstream, fingerprint)
-	return func(crashed bool) { s.end(upstream, fingerprint, crashed) }
+	return func(how poison.End) { s.end(upstream, fingerprint, how) }
 }
 
-func (s *Service) end(upstream string, fingerprint uint64, crashed bool) {
+func (s *Service) end(upstream string, fingerprint uint64, how poison.End) {
 	s.mu.Lock()
-	tell := s.tracker.End(time.Now(), upstream, fingerprint, crashed)
-	own := s.tracker.Suspects
+	tell := s.tracker.End(time.Now(), upstream, fingerprint, how)
 	var suspects []membership.Suspect
 	if tell {
-		s.told = true
-		suspects = own()
+		suspects = s.tracker.Suspects()
 	}
 	s.mu.Unlock()
-	if crashed {
+	if how == poison.EndCrashed {
 		s.crashes.Inc()
 	}
 	if !tell {
 		return
 	}
-	if crashed {
+	if how == poison.EndCrashed {
 		s.log.Emit(event.PoisonSuspected, event.F("upstream", upstream), event.F("fingerprint", fingerprint))
 	}
 	s.source.SetSuspects(suspects)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -83,8 +83,8 @@
 func crash(s *quarantine.Service) {
 	end := s.Begin("u", killer)
 	bystander := s.Begin("u", 1)
-	end(true)
-	bystander(true)
+	end(poison.EndCrashed)
+	bystander(poison.EndCrashed)
 	time.Sleep(time.Second)
 }
 
@@ -95,7 +95,7 @@
 		is := is.New(t)
 		nodes := start(t, "a", "b", "c")
 		for _, s := range nodes {
-			s.Begin("u", 1)(false)
+			s.Begin("u", 1)(poison.EndAlive)
 		}
 		crash(nodes[0])
 		is.True(!nodes[2].Quarantined(killer))
