--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -39,6 +39,11 @@
 	if err != nil {
 		return Bundle{}, err
 	}
+	return d.ApplyTo(base, b)
+}
+
+// ApplyTo is Apply for a bundle whose content id the caller has verified.
+func (d *Delta) ApplyTo(base ID, b *Bundle) (Bundle, error) {
 	if base != d.Base {
 		return Bundle{}, fmt.Errorf("delta starts at %.12s, content is %.12s: %w", d.Base, base, ErrBase)
 	}
--- a/pkg/distributor/apply.go
+++ b/pkg/distributor/apply.go
@@ -148,7 +148,7 @@
 	if !ok {
 		return bundle.Bundle{}, fmt.Errorf("version %d: content %.12s is not kept: %w", u.Acceptance.Version, u.Delta.Base, bundle.ErrBase)
 	}
-	return u.Delta.Apply(base)
+	return u.Delta.ApplyTo(u.Delta.Base, base)
 }
 
 // fail ends an application. A refusal is recorded and reported.
--- a/pkg/distributor/service.go
+++ b/pkg/distributor/service.go
@@ -30,6 +30,12 @@
 
 var _ rollout.Source = (*Service)(nil)
 
+// heartbeats is a membership whose heartbeats carry the applied version and
+// offer the versions of peers.
+type heartbeats interface {
+	SetHooks(applied func() model.Version, offer func(from model.NodeID, v model.Version))
+}
+
 // Service is the kernel service "rollout".
 type Service struct {
 	options Options
@@ -107,6 +113,9 @@
 	s.groups = &groups{source: source, self: s.options.Transport.Self(), dc: s.options.DataCentre, leads: s.tuning.Leads}
 	s.started = true
 	s.mu.Unlock()
+	if m, ok := source.(heartbeats); ok {
+		m.SetHooks(s.Applied, s.Offer)
+	}
 	s.spawn(s.boot)
 	s.spawn(s.reporter.run)
 	s.spawn(s.watcher.run)
