Give the tests bundles that the checked sign-off takes

Cause: the sign-off now checks the whole content, so test bundles with a route without methods no longer pass, and the one that must not compile is refused before it is accepted. Change: the test bundles are valid; the compile failure is written to the head directly, as an older or faulty tool could. Conclusion: the same cases are tested as before.

--- a/pkg/bench/rollout/content.go
+++ b/pkg/bench/rollout/content.go
@@ -45,7 +45,7 @@
 	}
 	for i := range size.Routes {
 		service := b.Services[random.IntN(len(b.Services))].Name
-		b.Routes = append(b.Routes, bundle.Route{
+		r := bundle.Route{
 			Name:       fmt.Sprintf("%s-route-%04d", service, i),
 			Host:       fmt.Sprintf("%s.mesh.example", teams[i%len(teams)]),
 			PathPrefix: fmt.Sprintf("/v%d/%s/%d", 1+random.IntN(3), service, i),
@@ -54,7 +54,13 @@
 			Class:      classes[random.IntN(len(classes))],
 			Timeout:    millis(250 * (1 + random.IntN(20))),
 			Attempts:   1 + random.IntN(3),
-		})
+		}
+		if r.Class == model.ClassOrder {
+			r.Methods = []string{"POST"}
+			r.Attempts = 1
+		}
+		r.Internal = r.Class == model.ClassInternal
+		b.Routes = append(b.Routes, r)
 	}
 	b.Normalize()
 	return b
--- a/pkg/distributor/harness_test.go
+++ b/pkg/distributor/harness_test.go
@@ -204,7 +204,7 @@
 	b := bundle.Bundle{
 		Services: []bundle.Service{{Name: "order-desk", Timeout: bundle.Duration(time.Second)}},
 		Routes: []bundle.Route{{
-			Name: "orders", PathPrefix: "/orders", Service: "order-desk",
+			Name: "orders", PathPrefix: "/orders", Methods: []string{"POST"}, Service: "order-desk",
 			Class: model.ClassOrder, Timeout: bundle.Duration(time.Duration(v) * time.Millisecond), Attempts: 1,
 		}},
 	}
@@ -230,6 +230,22 @@
 	return acc
 }
 
+// force puts a bundle in force that the sign-off would refuse.
+func (c *cluster) force(v model.Version, b bundle.Bundle) {
+	c.t.Helper()
+	ctx := c.t.Context()
+	id, err := bundlestore.Save(ctx, c.store, &b, bundlestore.Meta{Preparer: "mihai", Time: time.Now()})
+	c.check(err)
+	head, revision, err := bundlestore.ReadHead(ctx, c.store)
+	c.check(err)
+	acc := bundle.Acceptance{Version: v, Bundle: id, Parent: head.Acceptance.Bundle, Acceptor: operator, Time: time.Now().Truncate(time.Second), Operation: "forced"}
+	c.check(acc.Sign(keyID, privateKey))
+	value, err := json.Marshal(head.Next(acc))
+	c.check(err)
+	_, err = c.store.Put(ctx, bundlestore.HeadKey(), value, revision)
+	c.check(err)
+}
+
 // converge waits until every node has version v and fails after limit.
 func (c *cluster) converge(v model.Version, limit time.Duration) time.Duration {
 	c.t.Helper()
--- a/pkg/distributor/refuse_test.go
+++ b/pkg/distributor/refuse_test.go
@@ -88,7 +88,7 @@
 		c.converge(1, time.Second)
 		bad := content(2)
 		bad.Routes[0].Service = "pigment-ledger"
-		c.signOffBundle(2, bad)
+		c.force(2, bad)
 		time.Sleep(10 * time.Second)
 		c.gossip(func(_, _ *node) bool { return true })
 		is.Equal(len(c.behind(2)), 10)
@@ -145,14 +145,14 @@
 		c.signOff(1)
 		c.converge(1, time.Second)
 		next := content(2)
-		next.Services = append(next.Services, bundle.Service{Name: "pigment-ledger"})
+		next.Services = append(next.Services, bundle.Service{Name: "pigment-ledger", Timeout: next.Services[0].Timeout})
 		next.Routes[0].Service = "pigment-ledger"
 		next.Services = next.Services[1:]
 		c.signOffBundle(2, next)
 		for len(c.behind(2)) > 0 {
 			for _, n := range c.nodes {
 				s := n.holder.Current()
-				route, ok := s.Match("GET", "", "/orders")
+				route, ok := s.Match("POST", "", "/orders")
 				is.True(ok)
 				_, ok = s.Service(route.Service)
 				is.True(ok)
