Show that the platform's client sends a write once

Cause: the errors of the client rest on the HTTP library never sending a write again that may have been received; no test showed it on a connection in use.

Change: a server that closes the connection after it took a write counts the writes; the client is held to HTTP/1.1, whose rules those are.

--- a/pkg/platform/rest/client.go
+++ b/pkg/platform/rest/client.go
@@ -68,7 +68,15 @@
 	if c.Mesh == "" {
 		return nil, errors.New("platform mesh name is empty")
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
+	// HTTP/1.1 only: its rules for sending a write again are the ones that the
+	// errors of this package rest on.
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+		Protocols:           protocols,
+	}
 	if c.CAFile != "" {
 		if transport.TLSClientConfig, err = tlsConfig(c.CAFile); err != nil {
 			return nil, err
--- a/pkg/platform/rest/client_test.go
+++ b/pkg/platform/rest/client_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -226,3 +227,33 @@
 		is.True(err != nil)
 	}
 }
+
+// A server that takes a write on a connection in use and then closes it gets
+// the write once only, whatever the HTTP client may do with reads.
+func TestWriteIsNeverSentTwice(t *testing.T) {
+	is := is.New(t)
+	var writes atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = w.Write([]byte(`{"metadata":{"resourceVersion":"7"}}`))
+			return
+		}
+		writes.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	client := connect(t, rest.Config{URL: server.URL})
+	for want := int64(1); want <= 3; want++ {
+		_, err := client.Get(t.Context(), key) // leaves a connection to use again
+		is.NoErr(err)
+		_, err = client.Put(t.Context(), key, value("one"), "7")
+		is.True(errors.Is(err, platform.ErrUnknownOutcome))
+		is.Equal(writes.Load(), want)
+	}
+	err := client.Delete(t.Context(), key, "7")
+	is.True(errors.Is(err, platform.ErrUnknownOutcome))
+	is.Equal(writes.Load(), int64(4))
+}
