--- a/pkg/gossip/failure_test.go
+++ b/pkg/gossip/failure_test.go
@@ -25,6 +25,15 @@
 
 // run runs f in a bubble with a converged cluster.
 func run(t *testing.T, o gossiptest.Options, f func(t *testing.T, is *is.I, c *gossiptest.Cluster)) {
+	t.Helper()
+	runUnconverged(t, o, func(t *testing.T, is *is.I, c *gossiptest.Cluster) {
+		wait(t, "the nodes find each other", c.Converged)
+		f(t, is, c)
+	})
+}
+
+// runUnconverged runs f in a bubble with a cluster that has just started.
+func runUnconverged(t *testing.T, o gossiptest.Options, f func(t *testing.T, is *is.I, c *gossiptest.Cluster)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -32,9 +41,6 @@
 		c := gossiptest.New(o)
 		defer c.KillAll()
 		is.NoErr(c.StartAll())
-		if _, ok := gossiptest.Wait(limit, c.Converged); !ok {
-			t.Fatal("the nodes did not find each other")
-		}
 		f(t, is, c)
 	})
 }
