Use one hooked store in the tests of bundles and sign-off

Cause: three tests wrapped the store by code of their own.

Change: bundletest.HookedStore calls a hook before each call.

--- a/pkg/bundle/bundletest/bundletest.go
+++ b/pkg/bundle/bundletest/bundletest.go
@@ -1,5 +1,5 @@
 // Package bundletest helps tests with bundles: a generator of bundles and a
-// store that pauses between two calls.
+// store with a hook before each call.
 package bundletest
 
 import (
@@ -73,35 +73,45 @@
 	})
 }
 
-// PausingStore calls Pause once, before the call that follows the first Calls
-// calls.
-type PausingStore struct {
+// HookedStore calls Before in front of every read and write of single objects;
+// an error from it is the answer to the call.
+type HookedStore struct {
 	platform.Store
-	Calls int
-	Pause func()
+	Before func(key platform.Key) error
 }
 
-func (s *PausingStore) count() {
-	s.Calls--
-	if s.Calls == -1 {
-		s.Pause()
+// PauseAfter returns a hook that calls pause once, after the given number of
+// calls.
+func PauseAfter(calls int, pause func()) func(platform.Key) error {
+	return func(platform.Key) error {
+		calls--
+		if calls == -1 {
+			pause()
+		}
+		return nil
 	}
 }
 
 // Get reads one object.
-func (s *PausingStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
-	s.count()
+func (s *HookedStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	if err := s.Before(key); err != nil {
+		return platform.Object{}, err
+	}
 	return s.Store.Get(ctx, key)
 }
 
 // Put writes one object.
-func (s *PausingStore) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifRevision platform.Revision) (platform.Revision, error) {
-	s.count()
+func (s *HookedStore) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifRevision platform.Revision) (platform.Revision, error) {
+	if err := s.Before(key); err != nil {
+		return "", err
+	}
 	return s.Store.Put(ctx, key, value, ifRevision)
 }
 
 // Delete removes one object.
-func (s *PausingStore) Delete(ctx context.Context, key platform.Key, ifRevision platform.Revision) error {
-	s.count()
+func (s *HookedStore) Delete(ctx context.Context, key platform.Key, ifRevision platform.Revision) error {
+	if err := s.Before(key); err != nil {
+		return err
+	}
 	return s.Store.Delete(ctx, key, ifRevision)
 }
