--- a/pkg/bench/calls/caller.go
+++ b/pkg/bench/calls/caller.go
@@ -248,8 +248,9 @@
 func (s *callers) attempt(ctx context.Context, c call, key, intent string, try int) reply {
 	id := s.next()
 	var r reply
-	for range connectAttempts {
-		r = s.send(ctx, s.target(c, try), c, key, id)
+	first := s.draw() + try
+	for n := range connectAttempts {
+		r = s.send(ctx, s.target(c, first+n), c, key, id)
 		if r.connected || s.policy != PolicyMesh {
 			break
 		}
@@ -282,24 +283,32 @@
 	}
 }
 
-// target picks the address for an attempt.
-func (s *callers) target(c call, try int) string {
-	nodes := s.cluster.of("")
+// draw returns a random place in the list of hosts.
+func (s *callers) draw() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.policy == PolicyMesh {
-		n := nodes[(s.rng.IntN(len(nodes))+try)%len(nodes)]
-		if c.class == model.ClassInternal {
-			return *n.outboundAddr.Load()
-		}
-		return *n.inboundAddr.Load()
-	}
-	nodes = s.cluster.of(s.service)
 	if s.policy == PolicyRoundRobin {
 		s.turn++
-		return nodes[s.turn%len(nodes)].standIn.Addr()
+		return s.turn
+	}
+	return s.rng.IntN(maxHosts)
+}
+
+// maxHosts is well over the number of hosts of any scenario.
+const maxHosts = 1 << 16
+
+// target returns the address at a place in the list of hosts.
+func (s *callers) target(c call, place int) string {
+	if s.policy != PolicyMesh {
+		nodes := s.cluster.of(s.service)
+		return nodes[place%len(nodes)].standIn.Addr()
+	}
+	nodes := s.cluster.of("")
+	n := nodes[place%len(nodes)]
+	if c.class == model.ClassInternal {
+		return *n.outboundAddr.Load()
 	}
-	return nodes[s.rng.IntN(len(nodes))].standIn.Addr()
+	return *n.inboundAddr.Load()
 }
 
 func (s *callers) pool(address string) *client.Pool {
--- a/pkg/bench/calls/scenario.go
+++ b/pkg/bench/calls/scenario.go
@@ -118,7 +118,7 @@
 func scenarios() []scenario {
 	return []scenario{
 		statusHang(), billedTwice(), catalogueCrawl(), internalFlood(), coldStart(),
-		lyingHealth(), poisonCall(), rollingRestart(), platformDown(),
+		lyingHealth(), poisonCall(), rollingRestart(), platformDown(), keyForms(),
 	}
 }
 
@@ -249,3 +249,20 @@
 		},
 	}
 }
+
+// platformLatency is that of the platform in keyForms.
+const platformLatency = 5 * time.Millisecond
+
+// keyForms weighs the two ways of owning keys on a healthy platform.
+func keyForms() scenario {
+	opaque := orderCall
+	opaque.opaque, opaque.label = true, " (opaque key)"
+	return scenario{
+		name: "key-forms", services: []service{apronOrders}, length: 4 * time.Second, settle: 3 * time.Second,
+		streams: []stream{always(60, orderCall), always(60, opaque)},
+		disturb: func(_ context.Context, c *cluster) error {
+			c.store.SetDelay(platformLatency)
+			return nil
+		},
+	}
+}
