Leave retries of broken connections to the first node, and split long files

Cause: the upstream's node sent a call again when a reused connection broke; a crash looks the same, so the call went to the crashed upstream again and was then answered connect-failed with unknown effect. Change: the first node alone retries, elsewhere and within the budget. Files are split by job, the loop is package agenda, and the tests wait. Conclusion: one place retries.

--- a/pkg/admission/compare_test.go
+++ b/pkg/admission/compare_test.go
@@ -1,7 +1,6 @@
 package admission_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tarragondrum/tarragondrum/pkg/admission"
+	"github.com/tarragondrum/tarragondrum/pkg/agenda"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
@@ -22,7 +22,6 @@
 
 // job is one call of a simulation in virtual time.
 type job struct {
-	at       time.Time // of the next thing that happens to it
 	arrived  time.Time
 	started  time.Time
 	deadline time.Time
@@ -30,19 +29,6 @@
 	running  bool
 }
 
-type agenda []*job
-
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(*job)) }
-func (a *agenda) Pop() any {
-	last := len(*a) - 1
-	j := (*a)[last]
-	*a = (*a)[:last]
-	return j
-}
-
 // result is what became of a class's calls.
 type result struct {
 	took    []time.Duration
@@ -129,47 +115,48 @@
 	const length = time.Minute
 	rnd := rand.New(rand.NewPCG(1, 1))
 	results := map[model.Class]*result{}
-	var events agenda
+	var events agenda.Agenda[*job]
 	for _, f := range flows {
 		results[f.class] = &result{}
 		at := epoch
 		for at.Before(epoch.Add(length)) {
 			at = at.Add(time.Duration(rnd.ExpFloat64() * float64(time.Second) / f.rate))
-			heap.Push(&events, &job{at: at, arrived: at, deadline: at.Add(f.deadline), class: f.class})
+			events.Add(at, &job{arrived: at, deadline: at.Add(f.deadline), class: f.class})
 		}
 	}
 	start := func(now time.Time, j *job) {
 		j.running, j.started = true, now
-		j.at = now.Add(time.Duration(rnd.ExpFloat64() * float64(service)))
-		heap.Push(&events, j)
+		events.Add(now.Add(time.Duration(rnd.ExpFloat64()*float64(service))), j)
 	}
-	for len(events) > 0 {
-		j := heap.Pop(&events).(*job)
+	for {
+		now, j, ok := events.Next()
+		if !ok {
+			return results
+		}
 		r := results[j.class]
 		if !j.running {
 			r.arrived++
-			runs, refused := s.arrive(j.at, j)
+			runs, refused := s.arrive(now, j)
 			if runs {
-				start(j.at, j)
+				start(now, j)
 			}
 			if refused {
 				r.refused++
 			}
 			continue
 		}
-		r.took = append(r.took, j.at.Sub(j.arrived))
-		if j.at.After(j.deadline) {
+		r.took = append(r.took, now.Sub(j.arrived))
+		if now.After(j.deadline) {
 			r.late++
 		}
-		run, refused := s.ended(j.at, j)
+		run, refused := s.ended(now, j)
 		for _, n := range run {
-			start(j.at, n)
+			start(now, n)
 		}
 		for _, n := range refused {
 			results[n.class].refused++
 		}
 	}
-	return results
 }
 
 // A flood of batch or internal calls leaves callers and orders in time. The log
--- a/pkg/proxy/client/conn.go
+++ b/pkg/proxy/client/conn.go
@@ -21,12 +21,9 @@
 	br *bufio.Reader
 	bw *bufio.Writer
 	// sent tells whether any byte of the current request has been written.
-	sent atomic.Bool
-	// received tells whether any byte of the current reply has been read.
-	received bool
-	reused   bool
-	readErr  error
-	idleAt   time.Time
+	sent    atomic.Bool
+	readErr error
+	idleAt  time.Time
 }
 
 func newConn(c net.Conn) *conn {
@@ -49,11 +46,7 @@
 // Peek, Skip, Release, Len, ReadByte and ReadBinary make conn a network.Reader.
 
 func (c *conn) Peek(n int) ([]byte, error) {
-	p, err := c.br.Peek(n)
-	if len(p) > 0 {
-		c.received = true
-	}
-	return p, err
+	return c.br.Peek(n)
 }
 
 func (c *conn) Skip(n int) error {
--- a/pkg/proxy/client/errors.go
+++ b/pkg/proxy/client/errors.go
@@ -35,9 +35,6 @@
 	Kind Kind
 	// Sent tells whether the peer may have received any byte of the request.
 	Sent bool
-	// Stale tells that a reused connection ended before any byte of the reply,
-	// which happens when the peer closes an idle connection at that moment.
-	Stale bool
 	// Refused tells that nothing listens at the peer's address.
 	Refused bool
 	Err     error
@@ -55,7 +52,6 @@
 	e := &Error{Kind: kind, Err: err}
 	if c != nil {
 		e.Sent = c.sent.Load()
-		e.Stale = c.reused && !c.received
 	}
 	var netErr net.Error
 	switch {
@@ -66,9 +62,6 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e.Kind = KindTimeout
 	}
-	if e.Kind != kind {
-		e.Stale = false
-	}
 	return e
 }
 
--- a/pkg/proxy/client/pool.go
+++ b/pkg/proxy/client/pool.go
@@ -75,8 +75,6 @@
 			return p.dial(ctx)
 		}
 		if time.Since(c.idleAt) < maxIdle && c.alive() {
-			c.reused = true
-			c.received = false
 			c.sent.Store(false)
 			return c, nil
 		}
--- a/pkg/proxy/inbound.go
+++ b/pkg/proxy/inbound.go
@@ -28,9 +28,6 @@
 	OutboundName = "proxy.outbound"
 )
 
-// defaultNotice is how long peers may take to hear that the node stops.
-const defaultNotice = time.Second
-
 // Inbound takes calls from callers outside the mesh and from other nodes.
 type Inbound struct {
 	shared   *shared
@@ -64,11 +61,7 @@
 func (i *Inbound) Stop(ctx context.Context) error {
 	i.shared.members.SetStopping()
 	i.listener.closeNew()
-	notice := i.shared.options.Settings.Drain.Notice.Std()
-	if notice <= 0 {
-		notice = defaultNotice
-	}
-	noticed := time.After(notice)
+	noticed := time.After(upstream.Notice(i.shared.options.Settings.Drain))
 	drainErr := i.shared.upstreams.DrainAll(ctx)
 	select {
 	case <-noticed:
--- a/pkg/proxy/order_test.go
+++ b/pkg/proxy/order_test.go
@@ -123,6 +123,7 @@
 		_, _ = fmt.Fprintf(w, "order %d", runs.Add(1))
 	}))
 	settle(t, near, 1)
+	settle(t, far, 1)
 	first := do(t, "POST", near.url("/orders"), "two pallets", key, "k1")
 	again := do(t, "POST", far.url("/orders"), "two pallets", key, "k1")
 	is.Equal(first.status, 201)
--- a/pkg/proxy/path_test.go
+++ b/pkg/proxy/path_test.go
@@ -16,6 +16,8 @@
 	far := m.start(t, "b", catalogue(), nil)
 	far.serve(t, "catalogue", "c1", http.HandlerFunc(echo))
 	near := m.start(t, "a", catalogue(), nil)
+	settle(t, near, 1)
+	settle(t, far, 1)
 	a := do(t, "GET", near.url("/shades?red=1"), "")
 	is.NoErr(a.err)
 	is.Equal(a.body, `GET /shades?red=1 depth=1 hop="" body=0`)
--- a/pkg/proxy/poison_test.go
+++ b/pkg/proxy/poison_test.go
@@ -54,8 +54,11 @@
 	close(ready)
 	settle(t, near, 1)
 	is.Equal(do(t, "POST", near.url("/shades"), "poison").reason(), "reply-broken")
+	settle(t, near, 0)
+	settle(t, far, 0)
 	far.serve(t, "catalogue", "c2", http.HandlerFunc(echo))
 	settle(t, near, 1)
+	settle(t, far, 1)
 	for _, n := range []*node{near, far} {
 		a := do(t, "POST", n.url("/shades"), "poison")
 		is.Equal(a.status, 422)
--- a/pkg/proxy/receiver.go
+++ b/pkg/proxy/receiver.go
@@ -106,19 +106,11 @@
 	return admission.OutcomeOK
 }
 
-// exchange sends the call to the upstream and reads the reply. A connection
-// that the upstream closed while it was idle is replaced once, for calls that
-// may run twice.
+// exchange sends the call to the upstream and reads the reply.
 func (r *receiver) exchange(c *call, i *upstream.Instance) (answer, *client.Error) {
 	c.header.Set(HeaderDepth, c.depth.String())
 	reply := &client.Reply{}
 	failure := i.Pool().Do(c.ctx, c.request(time.Now()), reply)
-	if failure != nil && failure.Stale && c.idempotent && c.replayable() {
-		failure = i.Pool().Do(c.ctx, c.request(time.Now()), reply)
-		if failure != nil {
-			failure.Sent = true // by the first attempt
-		}
-	}
 	if failure != nil {
 		return failureAnswer(failure), failure
 	}
--- a/pkg/reason/catalogue.go
+++ b/pkg/reason/catalogue.go
@@ -60,7 +60,7 @@
 	{BodyTooLarge, 413, NotRun, 0, "the body is over the bound of the listener or service", "Send less, or raise maxBodyBytes of the service."},
 	{BadRequest, 400, NotRun, 0, "the request or one of its headers is malformed", "Correct the request."},
 	{LoopDetected, 508, NotRun, 0, "the call passed through too many nodes or services", "Look for services that call each other in a circle."},
-	{RetryBudget, 503, Unknown, comeBack, "a retry was due, but the service's share of retries is used up", "Many calls of the service fail: look at its upstreams, not at the budget."},
+	{RetryBudget, 503, Unknown, comeBack, "a retry was due, but the service's share of retries is used up; the answer names the reason of the failed try", "Many calls of the service fail: look at its upstreams, not at the budget."},
 	{Poison, 422, NotRun, 0, "calls like this one crashed upstreams and are quarantined", "Look at the call and the crash; lift the quarantine when it is mended."},
 	{KeyMissing, 400, NotRun, 0, "the order has no Idempotency-Key where one is required", "Send the header with every order."},
 	{KeyMalformed, 400, NotRun, 0, "the Idempotency-Key cannot be read", "Send a key of the documented form."},
--- a/pkg/routing/compare_test.go
+++ b/pkg/routing/compare_test.go
@@ -1,7 +1,6 @@
 package routing_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tarragondrum/tarragondrum/pkg/agenda"
 	"github.com/tarragondrum/tarragondrum/pkg/routing"
 )
 
@@ -39,7 +39,6 @@
 }
 
 type simCall struct {
-	at     time.Time
 	sender int
 	target int
 	start  time.Time
@@ -55,19 +54,6 @@
 	answer                  // at the sender
 )
 
-type timeline []*simCall
-
-func (l timeline) Len() int           { return len(l) }
-func (l timeline) Less(i, j int) bool { return l[i].at.Before(l[j].at) }
-func (l timeline) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
-func (l *timeline) Push(x any)        { *l = append(*l, x.(*simCall)) }
-func (l *timeline) Pop() any {
-	last := len(*l) - 1
-	c := (*l)[last]
-	*l = (*l)[:last]
-	return c
-}
-
 // run returns the median and the 99th percentile of the answer times.
 func (s scenario) run(p routing.Policy, seed uint64) (p50, p99 time.Duration) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
@@ -84,38 +70,41 @@
 	}
 	gap := float64(meanService) / (s.utilisation * float64(s.upstreams*s.slots))
 	chooser := routing.Chooser{Policy: p}
-	var events timeline
+	var events agenda.Agenda[*simCall]
 	next := epoch
 	calls := 0
 	schedule := func() {
 		next = next.Add(time.Duration(rnd.ExpFloat64() * gap))
-		heap.Push(&events, &simCall{at: next, start: next, sender: rnd.IntN(s.senders)})
+		events.Add(next, &simCall{start: next, sender: rnd.IntN(s.senders)})
 		calls++
 	}
 	schedule()
-	begin := func(c *simCall) {
+	begin := func(now time.Time, c *simCall) {
 		sv := &servers[c.target]
 		sv.running++
-		c.kind, c.at = finish, c.at.Add(time.Duration(rnd.ExpFloat64()*float64(meanService)*sv.slow))
-		heap.Push(&events, c)
+		c.kind = finish
+		events.Add(now.Add(time.Duration(rnd.ExpFloat64()*float64(meanService)*sv.slow)), c)
 	}
 	var took []time.Duration
-	for len(events) > 0 {
-		c := heap.Pop(&events).(*simCall)
+	for {
+		now, c, ok := events.Next()
+		if !ok {
+			break
+		}
 		sv := &servers[c.target]
 		switch c.kind {
 		case arrival:
 			if calls < simCalls {
 				schedule()
 			}
-			e := chooser.Pick(views[c.sender], &routing.Request{Now: c.at, Class: "interactive"}, rnd.IntN)
+			e := chooser.Pick(views[c.sender], &routing.Request{Now: now, Class: "interactive"}, rnd.IntN)
 			e.State.InFlight++
 			c.target = slices.Index(views[c.sender], e)
-			c.kind, c.at = reach, c.at.Add(hopDelay)
-			heap.Push(&events, c)
+			c.kind = reach
+			events.Add(now.Add(hopDelay), c)
 		case reach:
 			if sv.running < s.slots {
-				begin(c)
+				begin(now, c)
 			} else {
 				sv.queue = append(sv.queue, c)
 			}
@@ -124,17 +113,16 @@
 			if len(sv.queue) > 0 {
 				q := sv.queue[0]
 				sv.queue = sv.queue[1:]
-				q.at = c.at
-				begin(q)
+				begin(now, q)
 			}
-			c.kind, c.at = answer, c.at.Add(hopDelay)
-			heap.Push(&events, c)
+			c.kind = answer
+			events.Add(now.Add(hopDelay), c)
 		case answer:
 			e := views[c.sender][c.target]
-			e.State.Report(c.at, sv.running, len(sv.queue), s.slots)
+			e.State.Report(now, sv.running, len(sv.queue), s.slots)
 			e.State.InFlight--
-			e.State.Took(c.at.Sub(c.start))
-			took = append(took, c.at.Sub(c.start))
+			e.State.Took(now.Sub(c.start))
+			took = append(took, now.Sub(c.start))
 		}
 	}
 	slices.Sort(took)
--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -16,7 +16,6 @@
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/metric"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/reason"
 	"github.com/tarragondrum/tarragondrum/pkg/settings"
 	"github.com/tarragondrum/tarragondrum/pkg/snapshot"
 )
@@ -34,13 +33,8 @@
 	ErrInFlight = errors.New("upstream: calls are still in flight")
 )
 
-const (
-	defaultDrainTimeout = 30 * time.Second
-	// defaultNotice is how long peers may take to hear of a leaving upstream.
-	defaultNotice = time.Second
-	// defaultWaiting bounds the queue of a class that the bundle does not bound.
-	defaultWaiting = 32
-)
+// defaultWaiting bounds the queue of a class that the bundle does not bound.
+const defaultWaiting = 32
 
 // Service keeps the upstreams of this host. It implements Manager and Local.
 type Service struct {
@@ -266,103 +260,6 @@
 // comeBack makes a stopped upstream run again, from the start of its ramp.
 func (s *Service) comeBack(i *Instance) error { return s.fire(i, triggerReturn) }
 
-// leave starts the drain of an upstream.
-func (s *Service) leave(i *Instance) error {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.state == model.UpstreamRunning {
-		i.refuseFrom = time.Now().Add(s.notice())
-	}
-	return fire(i.machine, triggerLeave)
-}
-
-func (s *Service) notice() time.Duration {
-	if n := s.settings.Drain.Notice.Std(); n > 0 {
-		return n
-	}
-	return defaultNotice
-}
-
-// DrainTimeout returns the longest wait for calls in flight.
-func (s *Service) DrainTimeout() time.Duration {
-	if t := s.settings.Drain.Timeout.Std(); t > 0 {
-		return t
-	}
-	return defaultDrainTimeout
-}
-
-// Drain stops an upstream gracefully. It tells the peers at once, takes calls
-// that are on their way for the notice, and returns when none is in flight.
-func (s *Service) Drain(ctx context.Context, name string) error {
-	s.mu.RLock()
-	i, ok := s.instances[name]
-	s.mu.RUnlock()
-	if !ok {
-		return fmt.Errorf("drain %q: %w", name, ErrUnknown)
-	}
-	return s.drain(ctx, i)
-}
-
-// DrainAll drains every upstream of this host at the same time.
-func (s *Service) DrainAll(ctx context.Context) error {
-	s.mu.RLock()
-	instances := s.all()
-	s.mu.RUnlock()
-	errs := make([]error, len(instances))
-	var wg sync.WaitGroup
-	for n, i := range instances {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			errs[n] = s.drain(ctx, i)
-		}()
-	}
-	wg.Wait()
-	return errors.Join(errs...)
-}
-
-func (s *Service) drain(ctx context.Context, i *Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout())
-	defer cancel()
-	if err := s.leave(i); err != nil {
-		return err
-	}
-	s.publish()
-	if i.snapshot().State != model.UpstreamLeaving {
-		return nil
-	}
-	err := s.awaitIdle(ctx, i)
-	if fireErr := s.fire(i, triggerIdle); fireErr != nil {
-		err = errors.Join(err, fireErr)
-	}
-	s.publish()
-	return err
-}
-
-// awaitIdle waits for the notice and then for the calls in flight.
-func (s *Service) awaitIdle(ctx context.Context, i *Instance) error {
-	notice := time.NewTimer(s.notice())
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-		select {
-		case <-i.whenIdle():
-			return nil
-		case <-ctx.Done():
-		}
-	case <-ctx.Done():
-	}
-	i.flush(reason.UpstreamLeaving)
-	i.mu.Lock()
-	left := i.inFlight
-	i.mu.Unlock()
-	if left == 0 {
-		return nil
-	}
-	s.log.Emit(event.DrainTimedOut, event.F("upstream", i.Name()), event.F("inFlight", left))
-	return fmt.Errorf("drain %q: %d calls: %w", i.Name(), left, ErrInFlight)
-}
-
 // List returns the upstreams of this host sorted by name.
 func (s *Service) List() []model.Upstream {
 	s.mu.RLock()
