--- a/pkg/proxy/path_test.go
+++ b/pkg/proxy/path_test.go
@@ -1,6 +1,9 @@
 package proxy_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -57,3 +60,55 @@
 	far.serve(t, "catalogue", "c1", http.HandlerFunc(echo))
 	eventually(t, "the new upstream gets calls", func() bool { return do(t, "GET", near.url("/"), "").status == 200 })
 }
+
+// Headers of the message pass, headers of the connection do not, and answers
+// without a body stay without one.
+func TestHeadersAndBodilessAnswers(t *testing.T) {
+	is := is.New(t)
+	near, far := two(t)
+	far.serve(t, "catalogue", "c1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Add("Set-Cookie", "a=1; Path=/; HttpOnly")
+		h.Add("Set-Cookie", "b=2")
+		h.Add("X-Many", "one")
+		h.Add("X-Many", "two")
+		h.Set("Etag", `"red"`)
+		h.Set("X-Seen", r.Header.Get("X-Mine")+r.Header.Get("X-Secret")+r.Header.Get("Cookie"))
+		h.Set("Connection", "X-Private")
+		h.Set("X-Private", "between two")
+		switch r.URL.Path {
+		case "/none":
+			w.WriteHeader(204)
+		case "/same":
+			w.WriteHeader(304)
+		case "/gone":
+			w.WriteHeader(404)
+		default:
+			h.Set("Content-Length", "4")
+			_, _ = w.Write([]byte("body"))
+		}
+	}))
+	settle(t, near, 1)
+	a := do(t, "HEAD", near.url("/"), "", "X-Mine", "mine", "Cookie", "c=3; d=4")
+	is.NoErr(a.err)
+	is.Equal(a.header.Get("Content-Length"), "4")
+	is.Equal(a.header.Get("X-Seen"), "minec=3; d=4")
+	is.Equal(a.header.Values("Set-Cookie"), []string{"a=1; Path=/; HttpOnly", "b=2"})
+	is.Equal(a.header.Values("X-Many"), []string{"one", "two"})
+	is.Equal(a.header.Get("X-Private"), "")
+	is.Equal(a.header.Get("Etag"), `"red"`)
+	for path, status := range map[string]int{"/none": 204, "/same": 304, "/gone": 404} {
+		a := do(t, "GET", near.url(path), "")
+		is.NoErr(a.err)
+		is.Equal(a.status, status)
+		is.Equal(a.body, "")
+		is.Equal(a.effect(), "run")
+	}
+	c, err := net.Dial("tcp", near.inbound.Address())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, x-secret\r\nX-Secret: hidden\r\nX-Mine: mine\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("X-Seen"), "mine")
+}
