--- a/pkg/distributor/apply.go
+++ b/pkg/distributor/apply.go
@@ -100,6 +100,24 @@
 	return a.publish(s)
 }
 
+// beginFetch notes that content is being fetched.
+func (a *applier) beginFetch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.machine.State() != rollout.StateFetching {
+		_ = a.machine.Fire(rollout.TriggerFetch) // permitted in every state between two applications
+	}
+}
+
+// abandonFetch notes that nothing was fetched.
+func (a *applier) abandonFetch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.machine.State() == rollout.StateFetching {
+		_ = a.machine.Fire(rollout.TriggerAbandon)
+	}
+}
+
 // reject records a version that was refused before its content was loaded.
 func (a *applier) reject(acc bundle.Acceptance, cause error) error {
 	a.mu.Lock()
@@ -190,11 +208,17 @@
 			a.violated(event.InvariantMissingRoute, event.F("route", r.Name), event.F("service", r.Service))
 		}
 	}
-	if len(s.Bundle.Routes) == 0 && len(s.Bundle.Services) == 0 {
+}
+
+// audit compares the content in force with the accepted content once more.
+func (a *applier) audit() {
+	s := a.holder.Current()
+	if s == nil {
 		return
 	}
-	if kept, ok := a.bases.get(s.Acceptance.Bundle); !ok || len(kept.Routes) != len(s.Bundle.Routes) || len(kept.Services) != len(s.Bundle.Services) {
-		a.violated(event.InvariantPartial, event.F("version", s.Version()))
+	id, err := s.Bundle.ContentID()
+	if err != nil || id != s.Acceptance.Bundle {
+		a.violated(event.InvariantPartial, event.F("version", s.Version()), event.F("content", id))
 	}
 }
 
--- a/pkg/distributor/harness_test.go
+++ b/pkg/distributor/harness_test.go
@@ -240,9 +240,22 @@
 	c.check(err)
 	acc := bundle.Acceptance{Version: v, Bundle: id, Parent: head.Acceptance.Bundle, Acceptor: operator, Time: time.Now().Truncate(time.Second), Operation: "forced"}
 	c.check(acc.Sign(keyID, privateKey))
-	value, err := json.Marshal(head.Next(acc))
+	c.putHead(head.Next(acc), revision)
+}
+
+// forceHead writes an acceptance as it is.
+func (c *cluster) forceHead(acc bundle.Acceptance) {
+	c.t.Helper()
+	head, revision, err := bundlestore.ReadHead(c.t.Context(), c.store)
+	c.check(err)
+	c.putHead(head.Next(acc), revision)
+}
+
+func (c *cluster) putHead(head bundlestore.Head, revision platform.Revision) {
+	c.t.Helper()
+	value, err := json.Marshal(head)
 	c.check(err)
-	_, err = c.store.Put(ctx, bundlestore.HeadKey(), value, revision)
+	_, err = c.store.Put(c.t.Context(), bundlestore.HeadKey(), value, revision)
 	c.check(err)
 }
 
--- a/pkg/distributor/pull.go
+++ b/pkg/distributor/pull.go
@@ -144,6 +144,8 @@
 		request.Version = acc.Version
 		request.Base = acc.Bundle
 	}
+	p.s.applier.beginFetch()
+	defer p.s.applier.abandonFetch()
 	reply, err := p.call(ctx, peer, request)
 	if err != nil {
 		return reply, err
--- a/pkg/distributor/report.go
+++ b/pkg/distributor/report.go
@@ -110,7 +110,11 @@
 	same := r.sentTo == parent && r.sent.Equal(sum)
 	r.mu.Unlock()
 	if !ok {
-		return r.writeProgress(ctx, r.keepProgress(g, sum))
+		p := r.keepProgress(g, sum)
+		if force && p.Applied < p.Members {
+			r.s.log.Emit(event.RolloutLaggards, event.F("version", p.Version), event.F("applied", p.Applied), event.F("members", p.Members), event.F("laggards", p.Laggards))
+		}
+		return r.writeProgress(ctx, p)
 	}
 	if same && !force || sum.Version == 0 {
 		return true
--- a/pkg/distributor/service.go
+++ b/pkg/distributor/service.go
@@ -187,9 +187,21 @@
 	s.confirm(confirmed)
 	s.notify()
 	s.reporter.wake()
+	s.spawn(s.audit)
 	return nil
 }
 
+// auditDelay keeps the audit out of the way of the push.
+const auditDelay = time.Second
+
+// audit checks the version in force some time after it was published.
+func (s *Service) audit(ctx context.Context) {
+	v := s.Applied()
+	if sleep(ctx, auditDelay+s.jitter(auditDelay)) && s.Applied() == v {
+		s.applier.audit()
+	}
+}
+
 // notify wakes everyone who waits for a new version.
 func (s *Service) notify() {
 	s.changedMu.Lock()
--- a/pkg/distributor/watch.go
+++ b/pkg/distributor/watch.go
@@ -272,8 +272,10 @@
 	}
 	content, kept := w.s.applier.bases.get(acc.Bundle)
 	if !kept {
+		w.s.applier.beginFetch()
 		loaded, err := w.loadWithRetry(ctx, acc)
 		if err != nil {
+			w.s.applier.abandonFetch()
 			return err
 		}
 		content = &loaded
