--- a/pkg/distributor/distributor_test.go
+++ b/pkg/distributor/distributor_test.go
@@ -131,7 +131,9 @@
 		c.start(6, "cluj-1", "cluj-2")
 		c.signOff(1)
 		c.converge(1, time.Second)
+		time.Sleep(3 * defaultTuning.ReportRefresh)
 		for _, n := range c.nodes {
+			is.True(n.service.Status().PlatformUp) // leads tell the others
 			n.store.setClosed(true)
 		}
 		c.signOff(2)
--- a/pkg/distributor/message.go
+++ b/pkg/distributor/message.go
@@ -85,6 +85,8 @@
 type reportReply struct {
 	Version     model.Version `cbor:"1,keyasint"`
 	ConfirmedMs int64         `cbor:"2,keyasint,omitempty"`
+	// PlatformUp tells that the platform answers, as far as the sender knows.
+	PlatformUp bool `cbor:"3,keyasint,omitempty"`
 }
 
 // progressRequest asks a lead for the roll-out of its data centre.
--- a/pkg/distributor/push.go
+++ b/pkg/distributor/push.go
@@ -57,6 +57,9 @@
 	return p.ctx, true
 }
 
+// maxSpans bounds the spans that a node covers for one version.
+const maxSpans = 64
+
 // relay pushes version v to the span in the background, once.
 func (p *spreader) relay(v model.Version, span rollout.Span) {
 	if span.Empty() {
@@ -67,8 +70,10 @@
 		return
 	}
 	p.mu.Lock()
-	done := p.relayed[span] >= v
-	p.relayed[span] = v
+	done := p.relayed[span] >= v || len(p.relayed) >= maxSpans
+	if !done {
+		p.relayed[span] = v
+	}
 	p.mu.Unlock()
 	if done {
 		return
--- a/pkg/distributor/report.go
+++ b/pkg/distributor/report.go
@@ -23,14 +23,16 @@
 	dirty chan struct{}
 	limit *rate.Limiter
 
-	mu       sync.Mutex
-	tally    *rollout.Tally
-	sentTo   model.NodeID
-	sent     rollout.Summary
-	root     bool
-	last     rollout.Progress
-	written  rollout.Progress
-	revision platform.Revision
+	mu     sync.Mutex
+	tally  *rollout.Tally
+	sentTo model.NodeID
+	sent   rollout.Summary
+	// platformUp is what the parent said of the platform.
+	platformUp bool
+	root       bool
+	last       rollout.Progress
+	written    rollout.Progress
+	revision   platform.Revision
 }
 
 func newReporter(s *Service) *reporter {
@@ -146,6 +148,7 @@
 	r.mu.Lock()
 	r.sentTo = parent.ID
 	r.sent = sum
+	r.platformUp = reply.PlatformUp
 	r.mu.Unlock()
 	if reply.Version == r.s.Applied() {
 		r.s.confirm(fromMs(reply.ConfirmedMs))
@@ -169,7 +172,7 @@
 	if s.reporter.take(from.ID, r.Summary) {
 		s.reporter.wake()
 	}
-	return reportReply{Version: s.Applied(), ConfirmedMs: toMs(s.lastConfirmed())}, nil
+	return reportReply{Version: s.Applied(), ConfirmedMs: toMs(s.lastConfirmed()), PlatformUp: s.platformUp()}, nil
 }
 
 // take stores the summary of a child and reports whether it changed anything.
@@ -282,3 +285,14 @@
 	defer r.mu.Unlock()
 	r.revision = revision
 }
+
+// platformUp reports whether the platform answers: as this node finds it if it
+// leads, else as its parent last said.
+func (s *Service) platformUp() bool {
+	if s.groups != nil && s.group().leading() {
+		return s.watcher.up()
+	}
+	s.reporter.mu.Lock()
+	defer s.reporter.mu.Unlock()
+	return s.reporter.platformUp
+}
--- a/pkg/distributor/status.go
+++ b/pkg/distributor/status.go
@@ -19,7 +19,7 @@
 	status := rollout.Status{
 		History:    s.pastAcceptances(),
 		Confirmed:  s.lastConfirmed(),
-		PlatformUp: s.watcher.up(),
+		PlatformUp: s.running() && s.platformUp(),
 		Refused:    s.applier.lastRefusal(),
 	}
 	if acc := s.applier.acceptance(); acc != nil {
