Tell streamed calls apart in the quarantine, and read hop answers strictly

Cause: all streamed bodies to one address had one fingerprint; an answer of the other node that did not come from its handler went to the caller as if it were the upstream's, without an effect; strangers could fill the log with rejected hop headers. Change: the fingerprint covers the beginning or the length of a streamed body. An answer between nodes without an effect is upstream-error, unknown. Rejected hop headers are counted, and logged once a second at most.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"time"
@@ -53,6 +54,8 @@
 	body   []byte
 	stream io.Reader
 	length int64
+	// sample is the beginning of a streamed body, as far as it has been read.
+	sample []byte
 
 	fingerprint uint64
 }
@@ -136,6 +139,7 @@
 	if c.isOrder() {
 		return ErrBodyTooLarge
 	}
+	c.sample = first
 	c.stream, c.length = io.MultiReader(newBytesReader(first), r), -1
 	return nil
 }
@@ -162,7 +166,7 @@
 }
 
 // mark works out the fingerprint by which a call that crashes upstreams is
-// known again.
+// known again. Of a streamed body it covers the beginning or the length.
 func (c *call) mark() {
 	h := xxhash.New()
 	for _, s := range []string{c.service, c.method, c.uri} {
@@ -170,6 +174,8 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(c.body)
+	_, _ = h.Write(c.sample)
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(c.length)))
 	c.fingerprint = h.Sum64()
 }
 
--- a/pkg/proxy/forwarder.go
+++ b/pkg/proxy/forwarder.go
@@ -199,7 +199,17 @@
 	if failure != nil {
 		return failureAnswer(failure), noop
 	}
+	return hopAnswer(reply), noop
+}
+
+// hopAnswer reads what the other node says of its answer. An answer without an
+// effect does not come from a node's handler.
+func hopAnswer(reply *client.Reply) answer {
 	h := &reply.Header
+	if len(h.Peek(reason.HeaderEffect)) == 0 {
+		reply.Close()
+		return refuse(reason.UpstreamError)
+	}
 	a := answer{
 		reply:    reply,
 		reason:   reason.Reason(h.Peek(reason.HeaderReason)),
@@ -208,7 +218,7 @@
 		load:     string(h.Peek(HeaderLoad)),
 	}
 	if !a.failed() {
-		return a, noop
+		return a
 	}
 	if len(h.Peek(reason.HeaderRetryAfter)) > 0 {
 		a.retryAfter = parseRetryAfter(h.Peek(reason.HeaderRetryAfter))
@@ -219,7 +229,7 @@
 		reply.Close()
 		a.reply = nil
 	}
-	return a, noop
+	return a
 }
 
 // pool returns the connections to another node.
--- a/pkg/proxy/guard.go
+++ b/pkg/proxy/guard.go
@@ -79,6 +79,7 @@
 func (c *guardedConn) Read(p []byte) (int, error) {
 	if c.answered.Load() {
 		c.finish()
+		_ = c.SetWriteDeadline(time.Time{})
 	}
 	if c.busy.Load() {
 		return c.Conn.Read(p)
--- a/pkg/proxy/handle.go
+++ b/pkg/proxy/handle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/deadline"
@@ -44,37 +45,49 @@
 		s.refuse(rc, route.Class, refuse(reason.NoRoute))
 		return
 	}
-	c := &call{
-		start:    start,
-		service:  svc.Name,
-		class:    route.Class,
-		attempts: max(1, route.Attempts),
-		budget:   svc.RetryBudgetPercent,
-		warmup:   svc.Warmup.Std(),
-		ejected:  svc.MaxEjectedPercent,
-	}
-	asked, err := parseAsked(h.Peek(deadline.Header))
-	if err == nil && trusted {
-		c.depth, err = ParseDepth(string(h.Peek(HeaderDepth)))
-		c.nested = c.depth.Retried
-	}
+	c, err := newCall(start, route, svc, h, trusted)
 	if err != nil {
 		a := refuse(reason.BadRequest)
 		a.detail = err.Error()
-		s.refuse(rc, c.class, a)
+		s.refuse(rc, route.Class, a)
 		return
 	}
-	c.depth.Level++
 	if c.depth.Level > MaxDepth {
 		s.options.Log.Emit(event.LoopFound, event.F("service", c.service), event.F("depth", c.depth.Level))
 		s.refuse(rc, c.class, refuse(reason.LoopDetected))
 		return
 	}
+	s.serve(ctx, rc, c, sideFirst, s.forwarder.serve, svc.MaxBodyBytes)
+}
+
+// newCall returns the call of a matched request. Only a trusted caller's depth
+// counts.
+func newCall(start time.Time, route *bundle.Route, svc *bundle.Service, h *protocol.RequestHeader, trusted bool) (*call, error) {
+	asked, err := parseAsked(h.Peek(deadline.Header))
+	if err != nil {
+		return nil, err
+	}
+	var depth Depth
+	if trusted {
+		if depth, err = ParseDepth(string(h.Peek(HeaderDepth))); err != nil {
+			return nil, err
+		}
+	}
 	limit := deadline.Timeout(-1, route.Timeout.Std(), svc.Timeout.Std())
 	timeout := deadline.Timeout(asked, route.Timeout.Std(), svc.Timeout.Std())
-	c.impatient = timeout < limit
-	c.deadline = start.Add(timeout)
-	s.serve(ctx, rc, c, sideFirst, s.forwarder.serve, svc.MaxBodyBytes)
+	return &call{
+		start:     start,
+		deadline:  start.Add(timeout),
+		impatient: timeout < limit,
+		service:   svc.Name,
+		class:     route.Class,
+		depth:     Depth{Level: depth.Level + 1, Retried: depth.Retried},
+		nested:    depth.Retried,
+		attempts:  max(1, route.Attempts),
+		budget:    svc.RetryBudgetPercent,
+		warmup:    svc.Warmup.Std(),
+		ejected:   svc.MaxEjectedPercent,
+	}, nil
 }
 
 // parseAsked reads the time that a caller asks for; -1 means that it does not.
@@ -181,7 +194,10 @@
 	}
 	hop, err = ParseHop(string(value), s.forwarder.token)
 	if errors.Is(err, ErrToken) {
-		s.options.Log.Emit(event.HopRejected, event.F("remote", rc.RemoteAddr().String()))
+		s.metrics.hopsRejected.WithLabelValues().Inc()
+		s.rejected.Do(func() {
+			s.options.Log.Emit(event.HopRejected, event.F("remote", rc.RemoteAddr().String()))
+		})
 		return Hop{}, false, nil
 	}
 	return hop, true, err
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -28,6 +28,8 @@
 	denied   *prometheus.CounterVec
 	ejected  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	// hopsRejected counts hop headers without a valid token.
+	hopsRejected *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds.
@@ -36,12 +38,13 @@
 // NewMetrics registers the metrics of calls.
 func NewMetrics(r *metric.Registry) *Metrics {
 	return &Metrics{
-		answers:  metric.Counter(r, "call_answers_total", "Answers of upstreams that were passed on.", "class", "status"),
-		refusals: metric.Counter(r, "call_refusals_total", "Calls that were refused or failed, by reason and effect.", "side", "class", "reason", "effect"),
-		retries:  metric.Counter(r, "call_retries_total", "Calls that were tried again, by the reason of the failed try.", "class", "reason"),
-		denied:   metric.Counter(r, "call_retries_denied_total", "Retries that the service's budget did not allow.", "class", "reason"),
-		ejected:  metric.Counter(r, "endpoint_ejections_total", "Ejections of upstreams by outcome.", "service"),
-		latency:  metric.Histogram(r, "call_seconds", "Time from a call's arrival to its answer.", latencyBuckets, "side", "class"),
+		answers:      metric.Counter(r, "call_answers_total", "Answers of upstreams that were passed on.", "class", "status"),
+		refusals:     metric.Counter(r, "call_refusals_total", "Calls that were refused or failed, by reason and effect.", "side", "class", "reason", "effect"),
+		retries:      metric.Counter(r, "call_retries_total", "Calls that were tried again, by the reason of the failed try.", "class", "reason"),
+		denied:       metric.Counter(r, "call_retries_denied_total", "Retries that the service's budget did not allow.", "class", "reason"),
+		ejected:      metric.Counter(r, "endpoint_ejections_total", "Ejections of upstreams by outcome.", "service"),
+		hopsRejected: metric.Counter(r, "call_hops_rejected_total", "Hop headers without a valid token, which were ignored."),
+		latency:      metric.Histogram(r, "call_seconds", "Time from a call's arrival to its answer.", latencyBuckets, "side", "class"),
 	}
 }
 
--- a/pkg/proxy/request_test.go
+++ b/pkg/proxy/request_test.go
@@ -37,6 +37,19 @@
 	is.Equal(do(t, "GET", near.url("/check"), "", "Tarragondrum-Hop", "guess 0 internal catalogue c1").body, `GET /check depth=1 hop="" body=0`)
 }
 
+// An answer that does not come from a node's handler, here because the headers
+// outgrow the bound on the second node, is never taken for an upstream's.
+func TestAnswerOfNoHandlerIsAnError(t *testing.T) {
+	is := is.New(t)
+	near, far := two(t)
+	far.serve(t, "catalogue", "c1", http.HandlerFunc(echo))
+	settle(t, near, 1)
+	a := do(t, "GET", near.url("/"), "", "X-Long", strings.Repeat("x", 16<<10-180))
+	is.Equal(a.status, 502)
+	is.Equal(a.reason(), "upstream-error")
+	is.Equal(a.effect(), "unknown")
+}
+
 func TestLoopEnds(t *testing.T) {
 	is := is.New(t)
 	near, far := two(t)
--- a/pkg/proxy/shared.go
+++ b/pkg/proxy/shared.go
@@ -7,6 +7,9 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/kernel"
@@ -37,7 +40,7 @@
 
 // New returns the two services that take calls.
 func New(o Options) (*Inbound, *Outbound) {
-	s := &shared{options: o, metrics: NewMetrics(o.Registry)}
+	s := &shared{options: o, metrics: NewMetrics(o.Registry), rejected: rate.Sometimes{Interval: time.Second}}
 	return &Inbound{shared: s}, &Outbound{shared: s}
 }
 
@@ -49,6 +52,9 @@
 	// nodes are then refused. Callers are served until the listener is closed.
 	stopping atomic.Bool
 
+	// rejected bounds how often strangers can make the node log.
+	rejected rate.Sometimes
+
 	members   membership.Source
 	upstreams upstream.Local
 	receiver  *receiver
