--- a/pkg/bench/membership/bench.go
+++ b/pkg/bench/membership/bench.go
@@ -79,6 +79,10 @@
 	// Return is the time from the common start of a killed third until all nodes
 	// see each other alive.
 	Return float64 `json:"returnSeconds"`
+	// StartCalls and ReturnCalls are the platform calls of all nodes until the mesh
+	// was whole, at its start and when the killed third returned.
+	StartCalls  uint64 `json:"startPlatformCalls"`
+	ReturnCalls uint64 `json:"returnPlatformCalls"`
 	// Cut and Heal are the times until every node knows that a data centre is cut
 	// off, and until every node sees all others alive again.
 	Cut  float64 `json:"cutSeconds"`
--- a/pkg/bench/membership/bench_test.go
+++ b/pkg/bench/membership/bench_test.go
@@ -21,6 +21,8 @@
 	maxMemoryMB       = 256
 	// maxLeaveSeconds is the time in which a leaving upstream is known everywhere.
 	maxLeaveSeconds = 2
+	// maxStartCalls bounds the platform calls of a node that starts.
+	maxStartCalls = 2
 )
 
 // TestRestAtTarget bounds the traffic at rest at the target size, by the slope
@@ -73,6 +75,8 @@
 			is.NoErr(err)
 			is.True(row.Leave.Last > 0 && row.Detect.Last > 0 && row.Return > 0 && row.Cut > 0 && row.Heal > 0)
 			is.True(row.LeaveLossy.Last <= maxLeaveSeconds)
+			is.True(row.StartCalls <= uint64(nodes)*maxStartCalls)
+			is.True(row.ReturnCalls <= uint64(nodes)/3*maxStartCalls)
 			result.Rows = append(result.Rows, row)
 		})
 	}
--- a/pkg/bench/membership/measure.go
+++ b/pkg/bench/membership/measure.go
@@ -29,6 +29,8 @@
 	// deadTime is how long a killed third stays dead.
 	deadTime = 2 * time.Second
 	lossRate = 0.05
+	// stepReturn is the scenario in which a killed third returns.
+	stepReturn = "return"
 )
 
 // The links of a mesh whose data centres are about half a millisecond apart.
@@ -107,18 +109,24 @@
 	if _, err := waitFor(c.Converged); err != nil {
 		return Row{}, fmt.Errorf("start: %w", err)
 	}
-	row := Row{Seed: seed, Rest: observe(c, o.Rest, heap, func() uint64 { return store.Calls().Total() })}
+	calls := func() uint64 { return store.Calls().Total() }
+	row := Row{Seed: seed, StartCalls: calls()}
+	row.Rest = observe(c, o.Rest, heap, calls)
 	row.Nodes, row.DataCentres = nodes, centres
 	for _, step := range []struct {
 		name string
 		run  func(*gossiptest.Cluster, Options) error
 	}{
 		{"leave", row.measureLeave}, {"leave with loss", row.measureLeaveLossy}, {"detect", row.measureDetect},
-		{"return", row.measureReturn}, {"cut", row.measureCut},
+		{stepReturn, row.measureReturn}, {"cut", row.measureCut},
 	} {
+		before := calls()
 		if err := step.run(c, o); err != nil {
 			return row, fmt.Errorf("%s: %w", step.name, err)
 		}
+		if step.name == stepReturn {
+			row.ReturnCalls = calls() - before
+		}
 	}
 	return row, nil
 }
--- a/pkg/bench/membership/report.go
+++ b/pkg/bench/membership/report.go
@@ -132,10 +132,11 @@
 func (r Result) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
-	line("nodes\tDCs\tseed\tdetect p50/p99/last s\tleaving p50/p99/last s\twith 5%% loss s\tB/update\tthird back s\tcut s\thealed s\t")
+	line("nodes\tDCs\tseed\tdetect p50/p99/last s\tleaving p50/p99/last s\twith 5%% loss s\tB/update\tthird back s\tcut s\thealed s\tcalls to start\tcalls to return\t")
 	for _, row := range r.Rows {
-		line("%d\t%d\t%d\t%s\t%s\t%s\t%.0f\t%.2f\t%.2f\t%.2f\t", row.Nodes, row.DataCentres, row.Seed,
-			row.Detect, row.Leave, row.LeaveLossy, row.LeaveBytes, row.Return, row.Cut, row.Heal)
+		line("%d\t%d\t%d\t%s\t%s\t%s\t%.0f\t%.2f\t%.2f\t%.2f\t%d\t%d\t", row.Nodes, row.DataCentres, row.Seed,
+			row.Detect, row.Leave, row.LeaveLossy, row.LeaveBytes, row.Return, row.Cut, row.Heal,
+			row.StartCalls, row.ReturnCalls)
 	}
 	line("\nat rest\tnodes\tDCs\tsent B/s\treceived B/s\tbusiest B/s\tmessages/s\tcore %%\theap KB\tplatform calls/min\t")
 	for _, row := range r.Rows {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -266,4 +266,11 @@
 	return d - time.Duration(quarter) + time.Duration(s.random.Int64N(2*quarter+1))
 }
 
+// randomUpTo returns a random time between zero and d.
+func (s *Service) randomUpTo(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(d) + 1))
+}
+
 func (s *Service) self() membership.Record { return s.options.Self }
--- a/pkg/gossip/join.go
+++ b/pkg/gossip/join.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/contacts"
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/mesh"
@@ -69,33 +71,51 @@
 }
 
 // platformContacts reads the contacts of this data centre, and in every second
-// round those of all.
+// round those of all. The first read waits a random time, in which peers may
+// find this node, and so that of a herd only the first finds no contacts.
 func (s *Service) platformContacts(round int) []mesh.Peer {
+	if round <= 1 && !s.sleepUnlessJoined(s.randomUpTo(s.timing.JoinSpread)) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, s.timing.CallTimeout)
 	defer cancel()
-	var peers []mesh.Peer
-	add := func(id, addr string) {
-		if id != string(s.self().ID) && addr != s.self().MeshAddr {
-			peers = append(peers, mesh.Peer{Addr: addr})
-		}
-	}
 	if round%2 == 0 {
-		own, _, err := s.book.Get(ctx, s.self().DataCentre)
-		if err != nil {
-			s.log.Emit(event.ContactsFailed, event.F("error", err))
-		}
-		for _, c := range own.Contacts {
-			add(string(c.ID), c.Addr)
-		}
-		return peers
+		return s.usable(s.ownContacts(ctx))
 	}
 	all, _, err := s.book.List(ctx)
 	if err != nil {
 		s.log.Emit(event.ContactsFailed, event.F("error", err))
 	}
+	var found []contacts.Contact
 	for _, centre := range all {
-		for _, c := range centre.Contacts {
-			add(string(c.ID), c.Addr)
+		found = append(found, centre.Contacts...)
+	}
+	return s.usable(found)
+}
+
+// ownContacts reads the contacts of this data centre. If there are none, this
+// node becomes the first; if another one was faster, it reads again.
+func (s *Service) ownContacts(ctx context.Context) []contacts.Contact {
+	own, revision, err := s.book.Get(ctx, s.self().DataCentre)
+	if err == nil && len(own.Contacts) == 0 {
+		self := contacts.Contact{ID: s.self().ID, Addr: s.self().MeshAddr}
+		err = s.book.Put(ctx, s.self().DataCentre, []contacts.Contact{self}, revision)
+		if errors.Is(err, contacts.ErrRaced) {
+			own, _, err = s.book.Get(ctx, s.self().DataCentre)
+		}
+	}
+	if err != nil {
+		s.log.Emit(event.ContactsFailed, event.F("error", err))
+	}
+	return own.Contacts
+}
+
+// usable returns the contacts other than this node, known by their addresses.
+func (s *Service) usable(list []contacts.Contact) []mesh.Peer {
+	var peers []mesh.Peer
+	for _, c := range list {
+		if c.ID != s.self().ID && c.Addr != s.self().MeshAddr {
+			peers = append(peers, mesh.Peer{Addr: c.Addr})
 		}
 	}
 	return peers
--- a/pkg/gossip/timing.go
+++ b/pkg/gossip/timing.go
@@ -23,6 +23,8 @@
 	PushTimeout time.Duration
 	// CallTimeout bounds one call of an exchange or join.
 	CallTimeout time.Duration
+	// JoinSpread is the longest wait of a starting node before it asks the platform.
+	JoinSpread time.Duration
 	// JoinBackoff and MaxJoinBackoff bound the wait between two tries to join.
 	JoinBackoff    time.Duration
 	MaxJoinBackoff time.Duration
@@ -41,8 +43,9 @@
 		ContactsInterval: time.Minute,
 		PushTimeout:      300 * time.Millisecond,
 		CallTimeout:      2 * time.Second,
+		JoinSpread:       time.Second,
 		JoinBackoff:      500 * time.Millisecond,
-		MaxJoinBackoff:   15 * time.Second,
+		MaxJoinBackoff:   30 * time.Second,
 		LeaveTimeout:     2 * time.Second,
 	}
 }
@@ -51,6 +54,9 @@
 	defaultFanout = 4
 	// indirectProbes is the number of helpers that probe a silent member.
 	indirectProbes = 3
+	// contactsLead divides the contacts interval into the first wait of a node that
+	// is still alone; it gives others the time to be found instead.
+	contactsLead = 4
 	// failedProbeEvery is the number of probe rounds between two looks at a failed
 	// member.
 	failedProbeEvery = 5
