Add bench rollout to the command line

Cause: convergence time and control bytes could only be measured from Go. Change: the command with JSON, seeds and a plot.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -8,11 +8,13 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bench/calls"
 	membershipbench "github.com/tarragondrum/tarragondrum/pkg/bench/membership"
+	"github.com/tarragondrum/tarragondrum/pkg/bench/rollout"
 )
 
 type benchCmd struct {
 	Calls      *benchCallsCmd      `arg:"subcommand:calls" help:"measure the path of calls and the bad days"`
 	Membership *benchMembershipCmd `arg:"subcommand:membership" help:"measure the membership at growing sizes"`
+	Rollout    *benchRolloutCmd    `arg:"subcommand:rollout" help:"measure convergence time and control bytes"`
 }
 
 type benchCallsCmd struct {
@@ -85,3 +87,40 @@
 	}
 	return env.report(nil, func() error { return result.Print(env.Stdout) })
 }
+
+type benchRolloutCmd struct {
+	Nodes       []int              `arg:"--nodes" help:"numbers of nodes; by default 25 50 100 200"`
+	DataCentres []int              `arg:"--data-centres" help:"numbers of data centres; by default 3 4 12"`
+	Scenarios   []rollout.Scenario `arg:"--scenarios" placeholder:"NAME" help:"what happens around the sign-off: plain loss herd platform-down cut; by default all"`
+	Changes     int                `arg:"--changes" default:"3" help:"sign-offs in each row"`
+	Repeats     int                `arg:"--repeats" default:"1" help:"runs with different seeds"`
+	Seed        uint64             `arg:"--seed" default:"1" help:"first seed"`
+	Plot        string             `arg:"--plot" placeholder:"FILE" help:"draw the result as PNG"`
+	JSON        bool               `arg:"--json" help:"print JSON"`
+}
+
+func (*benchRolloutCmd) example() string {
+	return "tarragondrum bench rollout --nodes 25 50 --data-centres 3 --scenarios plain loss"
+}
+
+func (c *benchRolloutCmd) run(_ context.Context, env Env) int {
+	result, err := rollout.Run(rollout.Options{
+		Nodes:       c.Nodes,
+		DataCentres: c.DataCentres,
+		Scenarios:   c.Scenarios,
+		Changes:     c.Changes,
+		Repeats:     c.Repeats,
+		Seed:        c.Seed,
+		Plot:        c.Plot,
+		Progress: func(r rollout.Row) {
+			_, _ = fmt.Fprintf(env.Stderr, "%s %s: %d nodes, %d data centres, last %.0f ms\n", r.Scenario, r.Way, r.Nodes, r.DataCentres, r.Last)
+		},
+	})
+	if err != nil {
+		return env.fail(ExitFailed, err)
+	}
+	if c.JSON {
+		return env.report(nil, func() error { return env.printJSON(result) })
+	}
+	return env.report(nil, func() error { return rollout.WriteTable(env.Stdout, result) })
+}
