Read the operators' keys again when the settings change

Cause: withdrawing a key of an operator needed a restart of every node. Change: a node looks at its settings file and swaps the keyring when the operators changed; a file with faults changes nothing (event 105), other changes ask for a restart (106).

--- a/pkg/bundle/accept.go
+++ b/pkg/bundle/accept.go
@@ -3,15 +3,17 @@
 import (
 	"crypto/ed25519"
 	"fmt"
+	"sync/atomic"
 	"time"
 )
 
 // signatureContext separates these signatures from any other use of a key.
 const signatureContext = "tarragondrum acceptance 1\n"
 
-// Keyring verifies acceptances. Keys are found by their id.
+// Keyring verifies acceptances. Keys are found by their id. It is safe for
+// concurrent use.
 type Keyring struct {
-	keys map[string]TrustedKey
+	keys atomic.Pointer[map[string]TrustedKey]
 }
 
 // TrustedKey is the public key of one operator.
@@ -25,11 +27,21 @@
 
 // NewKeyring returns a keyring with the given keys.
 func NewKeyring(keys ...TrustedKey) *Keyring {
-	k := &Keyring{keys: make(map[string]TrustedKey, len(keys))}
+	k := &Keyring{}
+	k.set(keys)
+	return k
+}
+
+// Replace puts the keys of another keyring in place of those of k. Acceptances
+// that k has verified before are not looked at again.
+func (k *Keyring) Replace(next *Keyring) { k.keys.Store(next.keys.Load()) }
+
+func (k *Keyring) set(keys []TrustedKey) {
+	byID := make(map[string]TrustedKey, len(keys))
 	for _, key := range keys {
-		k.keys[key.ID] = key
+		byID[key.ID] = key
 	}
-	return k
+	k.keys.Store(&byID)
 }
 
 // Sign fills in the key id and signature of a. The time is cut to whole seconds
@@ -47,7 +59,7 @@
 
 // Verify checks that a is signed by a trusted key of the operator it names.
 func (k *Keyring) Verify(a *Acceptance) error {
-	key, ok := k.keys[a.KeyID]
+	key, ok := (*k.keys.Load())[a.KeyID]
 	if !ok {
 		return fmt.Errorf("version %d: key %q is not trusted: %w", a.Version, a.KeyID, ErrSignature)
 	}
--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -21,7 +21,7 @@
 	if len(faults) > 0 {
 		return env.exit(&faultsError{faults: faults})
 	}
-	n, err := node.New(node.Options{Settings: s, LogWriter: env.Stderr})
+	n, err := node.New(node.Options{Settings: s, SettingsFile: c.Settings, LogWriter: env.Stderr})
 	if err != nil {
 		return env.fail(ExitUsage, err)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -46,8 +46,11 @@
 
 // Options say what a node is made of.
 type Options struct {
-	Settings  settings.Settings
-	LogWriter io.Writer
+	Settings settings.Settings
+	// SettingsFile is where the settings came from. The operators' keys are read
+	// again when it changes; empty means never.
+	SettingsFile string
+	LogWriter    io.Writer
 }
 
 // Node is one process of the mesh.
@@ -95,6 +98,9 @@
 	if err := n.register(store, transport, keyring); err != nil {
 		return nil, err
 	}
+	if o.SettingsFile != "" {
+		return n, n.kernel.Register(newOperators(o.SettingsFile, o.Settings, keyring, n.log))
+	}
 	return n, nil
 }
 
