Count the warm-up of an upstream from now at the latest

Cause: an upstream on a host whose clock is ahead stayed cold for as long as the clock is ahead. Change: a node counts the warm-up from the time at which it first hears of the start, unless the announced one is earlier.

--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -284,3 +284,16 @@
 	q.Done(now, model.ClassInteractive, time.Second, admission.OutcomeOK)
 	is.Equal(q.Arrive(now, 5, model.ClassInteractive, deadline).Verdict, admission.Admitted)
 }
+
+// BenchmarkAdmit is one call through a queue with a free slot.
+func BenchmarkAdmit(b *testing.B) {
+	q := admission.NewQueue(config(9, 130, 32))
+	now, id := epoch, uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now = now.Add(service)
+		q.Arrive(now, id, model.ClassInteractive, now.Add(time.Second))
+		q.Done(now, model.ClassInteractive, service, admission.OutcomeOK)
+	}
+}
--- a/pkg/proxy/table.go
+++ b/pkg/proxy/table.go
@@ -88,7 +88,7 @@
 	}
 	readEndpoints(view, wanted)
 	for _, e := range entries {
-		e.replace(wanted[e.service])
+		e.replace(wanted[e.service], time.Now())
 	}
 	t.moved(view)
 }
@@ -109,7 +109,7 @@
 	e = &entry{service: service, budget: retry.NewBudget(), chooser: routing.Chooser{Policy: routing.TwoChoices}}
 	wanted := map[string][]*routing.Endpoint{service: nil}
 	readEndpoints(t.view, wanted)
-	e.replace(wanted[service])
+	e.replace(wanted[service], time.Now())
 	t.entries[service] = e
 	return e
 }
@@ -153,7 +153,7 @@
 }
 
 // replace takes over new endpoints and keeps what was observed of the old ones.
-func (e *entry) replace(endpoints []*routing.Endpoint) {
+func (e *entry) replace(endpoints []*routing.Endpoint, now time.Time) {
 	sort.Slice(endpoints, func(i, j int) bool {
 		a, b := endpoints[i].Key, endpoints[j].Key
 		return a.Node < b.Node || (a.Node == b.Node && a.Upstream < b.Upstream)
@@ -165,15 +165,30 @@
 		old[p.Key] = p
 	}
 	for _, p := range endpoints {
+		inherit(p, old[p.Key], now)
+	}
+	e.endpoints = endpoints
+}
+
+// inherit takes over what was observed of an endpoint before. An upstream that
+// was started again begins anew. Its warm-up is counted from now at the latest,
+// in case the clock of its host is ahead.
+func inherit(p, before *routing.Endpoint, now time.Time) {
+	announced := p.Since
+	if before == nil {
 		p.State = &routing.State{}
-		if before, ok := old[p.Key]; ok {
-			p.State = before.State
-			if p.Since.After(before.Since) {
-				p.State.Outlier = outlier.Endpoint{}
-			}
+	} else {
+		p.State = before.State
+		if announced.Equal(p.State.Announced) {
+			p.Since = before.Since
+			return
 		}
+		p.State.Outlier = outlier.Endpoint{}
+	}
+	p.State.Announced = announced
+	if announced.After(now) {
+		p.Since = now
 	}
-	e.endpoints = endpoints
 }
 
 // pick chooses an endpoint and counts the call as in flight there.
--- a/pkg/proxy/table_test.go
+++ b/pkg/proxy/table_test.go
@@ -91,6 +91,22 @@
 	is.Equal(e.endpoints[0].State.Outlier, outlier.Endpoint{})
 }
 
+// A host whose clock is ahead does not keep its upstream cold.
+func TestClockAheadDoesNotKeepAnUpstreamCold(t *testing.T) {
+	is := is.New(t)
+	src := &still{view: mesh(460)}
+	src.view.Members["n1"].Upstreams[0].Since = time.Now().Add(time.Hour)
+	table := newTable(src, func(*membership.View) {})
+	e := table.entry("s1")
+	since := e.endpoints[0].Since
+	is.True(!since.After(time.Now()))
+	next := *src.view
+	next.Index = 2
+	src.view = &next
+	table.update()
+	is.True(e.endpoints[0].Since.Equal(since)) // the warm-up goes on
+}
+
 // BenchmarkTableUpdate reads a change of a mesh of 8,200 nodes on a node that
 // calls 20 services.
 func BenchmarkTableUpdate(b *testing.B) {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -65,6 +65,8 @@
 	Outlier outlier.Endpoint
 	// InFlight is the number of this node's own calls.
 	InFlight int
+	// Announced is the start that the endpoint's node last announced.
+	Announced time.Time
 	// Away is set from an ejection to the first good answer after it.
 	Away bool
 
