Keep keys closed while an update is in doubt, and refuse records when stopping

Cause: three faults found by reading. An owner whose cut had no answer opened the keys between its first and its next cut, which the first could still give away. It also opened them when a later update failed. A node that was stopping took records whose ranges then went to its successor without them. Each could run a key twice. Change: a book keeps the earliest cut and stays closed while in doubt, takes no records once frozen, and a hand-over tries another successor when one refuses. The model has a cut with two more broken variants; the property test has lost and late updates. Conclusion: two nodes that stop at once no longer lose or repeat an order (TestTwoStopsAtOnce).

--- a/pkg/bench/calls/scenario.go
+++ b/pkg/bench/calls/scenario.go
@@ -184,8 +184,20 @@
 	desk := orderDesk
 	desk.cold, desk.coldFactor = 3*time.Second, 10
 	return scenario{
-		name: "cold-start", services: []service{desk}, length: 3 * time.Second, baselines: allBaselines,
-		streams: []stream{pages(500)},
+		name: "cold-start", services: []service{desk}, length: 4 * time.Second, baselines: allBaselines,
+		streams: []stream{pages(500).during(200*time.Millisecond, 4*time.Second)},
+		disturb: func(_ context.Context, c *cluster) error {
+			for _, n := range c.of("") {
+				n.standIn.Crash()
+				if err := n.standIn.Restart(); err != nil {
+					return err
+				}
+				if err := n.announce(); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 	}
 }
 
--- a/pkg/ledger/failure_test.go
+++ b/pkg/ledger/failure_test.go
@@ -200,6 +200,31 @@
 	}
 }
 
+// Two nodes that stop at the same time do not pass on ranges whose records they
+// do not have.
+func TestTwoStopsAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		c := newCluster(t, "a", "b", "c", "d")
+		defer c.close()
+		time.Sleep(settle)
+		keys, _ := c.sendMany("a", 200)
+		done := make(chan error, 2)
+		for _, id := range []model.NodeID{"c", "d"} {
+			go func() { done <- c.stop(id) }()
+		}
+		for range 2 {
+			is.NoErr(<-done)
+		}
+		time.Sleep(settle)
+		for _, key := range keys {
+			c.send("b", key)
+		}
+		_, ran := c.sendMany("a", 50)
+		is.Equal(ran, 50)
+		c.check()
+	})
+}
+
 // A node whose upstream is gone soon gets no further orders, and still answers
 // re-sent ones.
 func TestUpstreamGone(t *testing.T) {
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,7 +31,7 @@
 var (
 	errNoSuccessor = errors.New("no node can take the shards over")
 	errOtherOwner  = errors.New("successor started again during the hand-over")
-	errNoRoom      = errors.New("records do not fit")
+	errNoRoom      = errors.New("records do not fit, or the successor stops too")
 )
 
 // cutOnce ends the newest ranges of this stopping owner shortly after now and
@@ -76,11 +77,12 @@
 		svc.book.Close(cuts)
 		return t.Cut(s.self, cuts, s.opts.Lookahead, takers)
 	})
-	if err != nil && !errors.Is(err, platform.ErrUnknownOutcome) {
-		s.mu.Lock()
-		svc.book.Reopen()
-		s.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		svc.book.Doubt()
 	}
+	svc.book.Reopen()
 	return err
 }
 
@@ -102,6 +104,7 @@
 func (s *Service) handOver(ctx context.Context) {
 	s.cutOnce(ctx)
 	for _, name := range s.hosted() {
+		s.consult(ctx, name)
 		s.mu.Lock()
 		svc := s.service(name)
 		svc.book.Freeze()
@@ -122,31 +125,46 @@
 }
 
 func (s *Service) handOverService(ctx context.Context, svc *service, owned map[int]bool) error {
-	groups, err := s.group(ctx, svc, owned)
+	groups, err := s.group(svc, owned)
 	if err != nil {
 		return err
 	}
 	var errs []error
 	for to, shards := range groups {
-		if err := s.transfer(ctx, svc, to, shards); err != nil {
-			errs = append(errs, fmt.Errorf("ledger: hand over %q to %q: %w", svc.name, to.Node, err))
-		}
+		errs = append(errs, s.transferToAny(ctx, svc, to, shards))
 	}
 	s.announce(ctx, svc)
 	return errors.Join(errs...)
 }
 
+// transferToAny hands shards to the first successor, or to another one if that
+// fails.
+func (s *Service) transferToAny(ctx context.Context, svc *service, first order.Owner, shards map[int]bool) error {
+	err := s.transfer(ctx, svc, first, shards)
+	for _, to := range s.successors(svc.name) {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		if to != first {
+			err = s.transfer(ctx, svc, to, shards)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("ledger: hand over %q: %w", svc.name, err)
+	}
+	return nil
+}
+
 // group sorts the owned shards by the owner of their newest range, or by the
-// successors in turn for shards that could not be cut.
-func (s *Service) group(ctx context.Context, svc *service, owned map[int]bool) (map[order.Owner]map[int]bool, error) {
-	s.consult(ctx, svc.name)
+// successors in turn if that owner cannot take them.
+func (s *Service) group(svc *service, owned map[int]bool) (map[order.Owner]map[int]bool, error) {
 	takers := s.successors(svc.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	groups := make(map[order.Owner]map[int]bool)
 	for shard := range owned {
 		to := svc.table.Last(shard).Owner
-		if to == s.self {
+		if to == s.self || len(takers) > 0 && !slices.Contains(takers, to) {
 			if len(takers) == 0 {
 				return nil, fmt.Errorf("ledger: hand over %q: %w", svc.name, errNoSuccessor)
 			}
--- a/pkg/order/book.go
+++ b/pkg/order/book.go
@@ -6,31 +6,6 @@
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
 )
 
-// State is the state of an order in the records of its owner.
-type State uint8
-
-// The states of an order. A record of an order that did not run is removed.
-const (
-	// StateRunning: the order was given to an upstream and has not ended.
-	StateRunning State = iota + 1
-	// StateFinished: the order ran and its outcome is kept.
-	StateFinished
-	// StateLost: the order may have run; there is no outcome.
-	StateLost
-	// StateClaimed: the key of an opaque order is claimed; the order has not run.
-	StateClaimed
-)
-
-// Record is what an owner remembers of one order.
-type Record struct {
-	ID      ID       `cbor:"1,keyasint"`
-	Birth   Birth    `cbor:"2,keyasint"`
-	Shard   int      `cbor:"3,keyasint"`
-	Digest  [32]byte `cbor:"4,keyasint"`
-	State   State    `cbor:"5,keyasint"`
-	Outcome *Outcome `cbor:"6,keyasint,omitempty"`
-}
-
 // Limits bounds the records of a node and the births that it takes.
 type Limits struct {
 	// Retention is the age at which a record is forgotten. Keys born earlier are
@@ -57,9 +32,6 @@
 	}
 }
 
-// retryRunning is when the caller of a running order should ask again.
-const retryRunning = time.Second
-
 // retryUnowned is when a caller should come back while owners change.
 const retryUnowned = 2 * time.Second
 
@@ -81,6 +53,7 @@
 	table       Table
 	started     Birth
 	frozen      bool
+	doubt       bool
 }
 
 // Usage counts what the books of one node hold together.
@@ -125,25 +98,39 @@
 	b.table = t
 	if t.Version > b.baseVersion {
 		clear(b.closed)
+		b.doubt = false
 	}
 	return true
 }
 
 // Close stops taking keys of the shards that are born at or after cuts[shard],
 // until a table newer than the adopted one is adopted. It must precede the
-// update that gives these keys to another owner.
+// update that gives these keys to another owner. A shard that is closed already
+// stays closed from the earlier birth on, which an update may still give away.
 func (b *Book) Close(cuts map[int]Birth) {
 	b.baseVersion = b.table.Version
 	for shard, cut := range cuts {
+		if earlier, ok := b.closed[shard]; ok {
+			cut = min(cut, earlier)
+		}
 		b.closed[shard] = cut
 	}
 }
 
+// Doubt tells that the update after Close may or may not take effect, now or
+// later. Only a newer table opens the shards again.
+func (b *Book) Doubt() { b.doubt = true }
+
 // Freeze stops taking keys for good, before the records are handed over.
 func (b *Book) Freeze() { b.frozen = true }
 
-// Reopen undoes Close after an update that certainly had no effect.
-func (b *Book) Reopen() { clear(b.closed) }
+// Reopen undoes Close after an update that certainly had no effect. It does
+// nothing while an earlier update is in doubt.
+func (b *Book) Reopen() {
+	if !b.doubt {
+		clear(b.closed)
+	}
+}
 
 // Owned returns the shards in which this owner has a range.
 func (b *Book) Owned() map[int]bool {
@@ -344,8 +331,13 @@
 }
 
 // Import adds records that a former owner handed over. It returns false,
-// without effect, if they do not fit.
+// without effect, if they do not fit or if this book is frozen: it may have
+// handed its own records over already, and the ranges would follow without
+// these.
 func (b *Book) Import(records []Record, floor Birth) bool {
+	if b.frozen {
+		return false
+	}
 	size := 0
 	for i := range records {
 		size += records[i].Outcome.Size()
@@ -376,35 +368,4 @@
 	return n
 }
 
-func (r *Record) decide(digest [32]byte) Decision {
-	d := Decision{Verdict: VerdictRefuse}
-	switch {
-	case r.Digest != digest:
-		d.Reason, d.Effect = reason.KeyReused, reason.NotRun
-	case r.State == StateRunning:
-		d.Reason, d.Effect, d.RetryAfter = reason.KeyInProgress, reason.Unknown, retryRunning
-	case r.State == StateClaimed:
-		d.Reason, d.Effect, d.RetryAfter = reason.KeyUnowned, reason.NotRun, retryUnowned
-	case r.State == StateFinished && r.Outcome != nil:
-		return Decision{Verdict: VerdictReplay, Effect: reason.Run, Outcome: r.Outcome}
-	case r.State == StateFinished:
-		d.Reason, d.Effect = reason.KeyOutcome, reason.Run
-	default:
-		d.Reason, d.Effect = reason.KeyOutcome, reason.Unknown
-	}
-	return d
-}
-
-// Size returns the bytes that a stored outcome takes.
-func (o *Outcome) Size() int {
-	if o == nil {
-		return 0
-	}
-	n := len(o.Body)
-	for _, h := range o.Header {
-		n += len(h.Name) + len(h.Value)
-	}
-	return n
-}
-
 func minuteOf(b Birth) int64 { return int64(b) / int64(time.Minute/time.Millisecond) }
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +79,8 @@
 	keys   []order.Key
 	ranBy  map[order.ID]order.Owner
 	serial uint64
+	// late holds updates that have not reached the platform yet.
+	late []func()
 }
 
 func (l *ledgers) newest() order.Table { return l.tables[len(l.tables)-1] }
@@ -117,7 +120,7 @@
 // act does one thing that can happen to a service.
 func (l *ledgers) act(t *rapid.T, look order.Lookahead) {
 	pick := func() *peer { return l.peers[rapid.IntRange(0, len(l.peers)-1).Draw(t, "peer")] }
-	switch rapid.IntRange(0, 19).Draw(t, "action") {
+	switch rapid.IntRange(0, 23).Draw(t, "action") {
 	case 0, 1, 2:
 		l.now = l.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
 	case 3:
@@ -133,29 +136,55 @@
 	case 13: // A table of any age.
 		pick().book.Adopt(l.tables[rapid.IntRange(0, len(l.tables)-1).Draw(t, "age")])
 	case 14, 15:
-		l.cut(pick(), look)
+		l.cut(t, pick(), look)
 	case 16:
 		l.handOver(pick(), pick())
+	case 17, 18, 19:
+		l.land(t)
 	default:
 		l.order(t)
 	}
 }
 
-func (l *ledgers) cut(p *peer, look order.Lookahead) {
+// cut gives keys away by an update whose answer may be lost, or which may land
+// late.
+func (l *ledgers) cut(t *rapid.T, p *peer, look order.Lookahead) {
 	p.book.Adopt(l.newest())
-	cuts := p.book.Cuts(l.newest(), l.now)
+	base := l.newest()
+	cuts := p.book.Cuts(base, l.now)
 	p.book.Close(cuts)
-	next, changed := l.newest().Cut(p.owner, cuts, look, l.alive())
+	next, changed := base.Cut(p.owner, cuts, look, l.alive())
 	if !changed {
 		p.book.Reopen()
 		return
 	}
-	l.publish(next)
-	for _, other := range l.peers {
-		other.book.Adopt(next)
+	land := func() {
+		if l.newest().Version != base.Version {
+			return
+		}
+		l.publish(next)
+		for _, other := range l.peers {
+			if other != p {
+				other.book.Adopt(l.newest())
+			}
+		}
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "answer") {
+	case 0:
+		land()
+		p.book.Adopt(l.newest())
+	case 1: // The answer is lost.
+		p.book.Doubt()
+		land()
+	case 2: // The update lands late, if at all.
+		p.book.Doubt()
+		l.late = append(l.late, land)
+	case 3: // It is refused.
 	}
+	p.book.Reopen()
 }
 
+// handOver sends the records at once and gives the ranges away later.
 func (l *ledgers) handOver(from, to *peer) {
 	if from == to {
 		return
@@ -168,10 +197,23 @@
 	if !to.book.Import(records, floor) {
 		return
 	}
-	if next, changed := l.newest().Reassign(from.owner, to.owner, shards, "op"); changed {
-		l.publish(next)
-		to.book.Adopt(next)
+	l.late = append(l.late, func() {
+		if next, changed := l.newest().Reassign(from.owner, to.owner, shards, "op"); changed {
+			l.publish(next)
+			to.book.Adopt(l.newest())
+		}
+	})
+}
+
+// land lets one of the late updates reach the platform.
+func (l *ledgers) land(t *rapid.T) {
+	if len(l.late) == 0 {
+		return
 	}
+	i := rapid.IntRange(0, len(l.late)-1).Draw(t, "late")
+	f := l.late[i]
+	l.late = slices.Delete(l.late, i, i+1)
+	f()
 }
 
 // order sends a fresh key to one owner and all of the last keys to all owners.
@@ -212,7 +254,7 @@
 		for range 3 {
 			l.join()
 		}
-		for range 150 {
+		for range 200 {
 			l.act(t, look)
 			if err := l.newest().Validate(); err != nil {
 				t.Fatal(err)
@@ -288,6 +330,31 @@
 	is.Equal(order.Locate(table, keyBorn(start.Add(-time.Hour), 1), dead).Reason, reason.KeyExpired)
 }
 
+// While an update is in doubt, a later one opens nothing that the first may yet
+// give away; a newer table does.
+func TestCloseInDoubt(t *testing.T) {
+	is := is.New(t)
+	b, table := ownAll(order.DefaultLimits())
+	k := keyBorn(start.Add(2*time.Second), 1)
+	b.Close(map[int]order.Birth{k.Shard: start.Add(time.Second)})
+	b.Doubt()
+	b.Close(map[int]order.Birth{k.Shard: start.Add(3 * time.Second)})
+	b.Reopen()
+	is.True(!b.Owns(k))
+	table.Version++
+	b.Adopt(table)
+	is.True(b.Owns(k))
+}
+
+// A book that hands its records over takes none: the ranges that come with them
+// would go to its successor without the records.
+func TestFrozenBookTakesNoRecords(t *testing.T) {
+	is := is.New(t)
+	b, _ := ownAll(order.DefaultLimits())
+	b.Freeze()
+	is.True(!b.Import(nil, start))
+}
+
 // An extension applies only to a table with the same layout.
 func TestExtension(t *testing.T) {
 	is := is.New(t)
--- a/spec/order.pml
+++ b/spec/order.pml
@@ -16,6 +16,9 @@
  *   -DBROKEN_HANDOVER_NO_FREEZE  an owner runs keys after it has sent its records
  *   -DBROKEN_KEEP_INSTANCE       a node that started again believes that the
  *                                ranges of its former run are its own
+ *   -DBROKEN_REOPEN_IN_DOUBT     an owner takes keys again that an update without
+ *                                an answer may yet give away
+ *   -DBROKEN_CUT_TAKEN           an owner gives away the key that it has run
  *   -DBROKEN_LOST_IS_NOT_RUN     a run without an answer is answered "not run"
  */
 
@@ -214,6 +217,42 @@
 		b = 0
 	   }
 
+	/* Give the later birth to the other node: close, then update. */
+	:: atomic {
+		!node[n].frozen && version < MAXVERSION && node[n].owner[1] == ME(n) ->
+		adopt(n);
+#ifdef BROKEN_CUT_TAKEN
+		if
+		:: node[n].owner[1] == ME(n) ->
+#else
+		if
+		:: node[n].owner[1] == ME(n) && !node[n].known[1] ->
+#endif
+			node[n].closed = true;
+			base = node[n].version;
+			other = 1 - n;
+			next[0] = node[n].owner[0];
+			next[1] = ME(other);
+			alive = true
+		:: else
+		fi
+	   }
+	   if
+	   :: alive ->
+		atomic {
+			put(base);
+#ifdef BROKEN_REOPEN_IN_DOUBT
+			node[n].closed = false;
+#endif
+			if
+			:: told -> adopt(n); node[n].closed = false
+			:: else
+			fi;
+			reset()
+		}
+	   :: else -> reset()
+	   fi
+
 	/* Hand over: freeze, send the records, give the range away. The answer to the
 	 * transfer may be lost; sending it again changes nothing. */
 	:: atomic {
