Hand an update to another lead when it does not come back down the tree

Cause: a lead that died after it took an update and before it pushed it left the rest to anti-entropy, which takes up to 8 s with 200 nodes. Change: the origin, which is in the tree itself, asks the next lead after 700 ms without its own record; a test kills the lead in between, and fails without this. The probe interval of the settings has an option of its own; digests are toggled by one function.

--- a/pkg/gossip/failure_test.go
+++ b/pkg/gossip/failure_test.go
@@ -58,15 +58,21 @@
 // every running node knew.
 func leave(t *testing.T, c *gossiptest.Cluster, i int) time.Duration {
 	t.Helper()
+	return wait(t, "leaving known", announceLeaving(c, i))
+}
+
+// announceLeaving lets the upstream of a node leave and returns a function that
+// reports whether every running node knows.
+func announceLeaving(c *gossiptest.Cluster, i int) (known func() bool) {
 	n := c.Nodes[i]
 	leaving := slices.Clone(n.Record.Upstreams)
 	leaving[0].State = model.UpstreamLeaving
 	n.Service.SetUpstreams(leaving)
-	return wait(t, "leaving known", func() bool {
+	return func() bool {
 		return c.All(func(v *membership.View) bool {
 			return v.Members[n.Record.ID].Upstreams[0].State == model.UpstreamLeaving
 		})
-	})
+	}
 }
 
 func status(v *membership.View, id model.NodeID) membership.Status { return v.Members[id].Status }
--- a/pkg/gossip/gateway.go
+++ b/pkg/gossip/gateway.go
@@ -97,7 +97,7 @@
 // contactsLoop lets the first lead keep the contact object of its data centre,
 // and look into the others for parts of the mesh that it does not know.
 func (s *Service) contactsLoop() {
-	wait := s.timing.ContactsInterval / contactsLead
+	wait := s.timing.ContactsInterval / firstContactsShare
 	for s.sleep(wait) {
 		wait = s.timing.ContactsInterval
 		s.mu.Lock()
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -53,8 +53,10 @@
 	// Contacts are mesh addresses to try besides those in the platform.
 	Contacts []string
 	// Seed makes the random choices.
-	Seed          uint64
-	Timing        Timing
+	Seed   uint64
+	Timing Timing
+	// ProbeInterval overrides that of Timing when it is not zero.
+	ProbeInterval time.Duration
 	Table         membership.Config
 	Dissemination Dissemination
 	// Fanout is the number of children of a node in the trees.
@@ -69,7 +71,7 @@
 	book    *contacts.Book
 	timing  Timing
 
-	mu         sync.Mutex // guards the fields down to rumours
+	mu         sync.Mutex // guards the fields down to echo
 	table      *membership.Table
 	random     *rand.Rand
 	changedAt  time.Time
@@ -77,6 +79,7 @@
 	rumours    membership.Rumours
 	recent     *recent
 	centreFail map[model.DataCentre]int
+	echo       membership.Record // the local record as it last came down a tree
 
 	view      atomic.Pointer[membership.View]
 	changedMu sync.Mutex
@@ -163,6 +166,9 @@
 	if o.Timing == (Timing{}) {
 		o.Timing = DefaultTiming()
 	}
+	if o.ProbeInterval != 0 {
+		o.Timing.ProbeInterval = o.ProbeInterval
+	}
 	if o.Table == (membership.Config{}) {
 		o.Table = membership.DefaultConfig()
 	}
@@ -214,7 +220,7 @@
 	s.mu.Unlock()
 	leaveCtx, cancel := context.WithTimeout(ctx, s.timing.LeaveTimeout)
 	defer cancel()
-	s.submitTo(leaveCtx, []membership.Entry{own})
+	s.submitTo(leaveCtx, []membership.Entry{own}, 0)
 	s.log.Emit(event.SelfLeft)
 	return s.Kill(ctx)
 }
--- a/pkg/gossip/join_test.go
+++ b/pkg/gossip/join_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,9 @@
 	"github.com/tarragondrum/tarragondrum/pkg/gossip/gossiptest"
 	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/mesh"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+	"github.com/tarragondrum/tarragondrum/pkg/tree"
 )
 
 // A herd that knows a single contact is deferred by it to others, and the
@@ -73,6 +76,25 @@
 	})
 }
 
+// A lead that dies after it took an update and before it pushed it loses
+// nothing: the origin hands the update to another one.
+func TestLeadDiesWithAnUpdate(t *testing.T) {
+	o := gossiptest.Options{Nodes: 40, DataCentres: 1, Seed: 24}
+	run(t, o, func(t *testing.T, is *is.I, c *gossiptest.Cluster) {
+		var ids []model.NodeID
+		for _, n := range c.Nodes {
+			ids = append(ids, n.Record.ID)
+		}
+		leads := tree.Leads(ids, c.Nodes[0].Record.DataCentre, 3)
+		origin := slices.IndexFunc(ids, func(id model.NodeID) bool { return !slices.Contains(leads, id) })
+		known := announceLeaving(c, origin)
+		const betweenAckAndPush = 30 * time.Millisecond
+		time.Sleep(betweenAckAndPush)
+		c.Kill(slices.Index(ids, leads[0]))
+		is.True(betweenAckAndPush+wait(t, "leaving known", known) <= 2*time.Second)
+	})
+}
+
 // A node whose id is used twice says so.
 func TestDuplicateIDIsReported(t *testing.T) {
 	o := gossiptest.Options{Nodes: 6, DataCentres: 1, Seed: 23}
--- a/pkg/gossip/timing.go
+++ b/pkg/gossip/timing.go
@@ -21,6 +21,9 @@
 	ContactsInterval time.Duration
 	// PushTimeout bounds one push to a child or lead.
 	PushTimeout time.Duration
+	// EchoTimeout is the time after which a node whose own update has not come down
+	// the tree hands it to another lead.
+	EchoTimeout time.Duration
 	// CallTimeout bounds one call of an exchange or join.
 	CallTimeout time.Duration
 	// JoinSpread is the longest wait of a starting node before it asks the platform.
@@ -42,6 +45,7 @@
 		GatewayInterval:  3 * time.Second,
 		ContactsInterval: time.Minute,
 		PushTimeout:      300 * time.Millisecond,
+		EchoTimeout:      700 * time.Millisecond,
 		CallTimeout:      2 * time.Second,
 		JoinSpread:       time.Second,
 		JoinBackoff:      500 * time.Millisecond,
@@ -54,9 +58,9 @@
 	defaultFanout = 4
 	// indirectProbes is the number of helpers that probe a silent member.
 	indirectProbes = 3
-	// contactsLead divides the contacts interval into the first wait of a node that
-	// is still alone; it gives others the time to be found instead.
-	contactsLead = 4
+	// firstContactsShare divides the contacts interval into the wait of a starting
+	// node, which gives it the time to be found by others.
+	firstContactsShare = 4
 	// failedProbeEvery is the number of probe rounds between two looks at a failed
 	// member.
 	failedProbeEvery = 5
--- a/pkg/gossip/update.go
+++ b/pkg/gossip/update.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
@@ -24,15 +25,53 @@
 	}
 }
 
-// submit hands entries to the first lead that takes them.
-func (s *Service) submit(entries []membership.Entry) { s.submitTo(s.ctx, entries) }
+// submit hands entries to the first lead that takes them. The tree reaches the
+// origin too: if the local record does not come back, the lead has died before
+// it pushed, and another one is asked.
+func (s *Service) submit(entries []membership.Entry) {
+	s.submitTo(s.ctx, entries, 0)
+	own := slices.IndexFunc(entries, func(e membership.Entry) bool { return e.Record.ID == s.self().ID })
+	if own < 0 {
+		return
+	}
+	s.spawn(func() {
+		if s.sleep(s.timing.EchoTimeout) && !s.echoed(entries[own].Record) {
+			s.metrics.updates.WithLabelValues(stageLabel(membership.StageSubmit), "resubmitted").Inc()
+			s.submitTo(s.ctx, entries[own:own+1], 1)
+		}
+	})
+}
+
+// echoed reports whether the local record, or a later one, came down a tree or
+// does not need to.
+func (s *Service) echoed(own membership.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	later := s.echo.Incarnation > own.Incarnation ||
+		s.echo.Incarnation == own.Incarnation && s.echo.Revision >= own.Revision
+	return later || s.table.LeadRank() >= 0
+}
+
+// noteEcho remembers the local record when it comes down a tree.
+func (s *Service) noteEcho(entries []membership.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		if e.Record.ID == s.self().ID {
+			s.echo = e.Record
+		}
+	}
+}
 
-func (s *Service) submitTo(ctx context.Context, entries []membership.Entry) {
+// submitTo hands entries to the first lead that takes them, beginning after the
+// given number of leads.
+func (s *Service) submitTo(ctx context.Context, entries []membership.Entry, skip int) {
 	s.mu.Lock()
 	lead := s.table.LeadRank() >= 0
 	leads := s.table.Leads(s.table.DataCentre())
 	others := s.table.RandomPeers(pushAttempts, s.table.DataCentre())
 	s.mu.Unlock()
+	leads = leads[min(skip, len(leads)):]
 	if lead {
 		s.spread(entries)
 		return
@@ -177,6 +216,7 @@
 	case membership.StageGateway:
 		s.treeBox.add(u.Entries)
 	case membership.StageTree:
+		s.noteEcho(u.Entries)
 		return nil, s.passOn(u)
 	}
 	return nil, nil
--- a/pkg/membership/centre.go
+++ b/pkg/membership/centre.go
@@ -39,14 +39,9 @@
 
 func bucketOf(id model.NodeID) int { return int(xxhash.Sum64String(string(id)) % buckets) }
 
-// count adds a member to the digests. Members that are gone do not count,
+// toggle adds a member to the digests or takes it out again, which is the same
+// because they are joined by exclusive or. Members that are gone do not count,
 // because each node forgets them at its own time.
-func (t *Table) count(m *member) { t.toggle(m) }
-
-// uncount takes a member out of the digests.
-func (t *Table) uncount(m *member) { t.toggle(m) }
-
-// toggle works both ways, because digests are joined by exclusive or.
 func (t *Table) toggle(m *member) {
 	if gone(m.Status) {
 		return
--- a/pkg/membership/entry.go
+++ b/pkg/membership/entry.go
@@ -14,11 +14,11 @@
 
 // Bounds of one record. A record that breaks one is refused whole.
 const (
-	maxNameBytes      = 128
-	maxUpstreams      = 64
-	maxSuspects       = 64
-	maxUnreachable    = 64
-	maxUpstreamFields = 8 // classes of one upstream
+	maxNameBytes   = 128
+	maxUpstreams   = 64
+	maxSuspects    = 64
+	maxUnreachable = 64
+	maxClasses     = 8 // of one upstream
 )
 
 // Entry is a record on its way between nodes with the sender's belief about it.
@@ -119,7 +119,7 @@
 		if len(u.Name) > maxNameBytes || len(u.Service) > maxNameBytes || len(u.Address) > maxNameBytes {
 			return fmt.Errorf("upstream %.32q of %q has a long name: %w", u.Name, r.ID, ErrInvalid)
 		}
-		if len(u.Classes) > maxUpstreamFields {
+		if len(u.Classes) > maxClasses {
 			return fmt.Errorf("upstream %q of %q has %d classes: %w", u.Name, r.ID, len(u.Classes), ErrInvalid)
 		}
 	}
--- a/pkg/membership/rumours.go
+++ b/pkg/membership/rumours.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 
@@ -34,10 +35,7 @@
 		ids = append(ids, id)
 	}
 	slices.SortFunc(ids, func(a, b model.NodeID) int {
-		if r.left[a] != r.left[b] {
-			return r.left[b] - r.left[a]
-		}
-		return bucketOf(a) - bucketOf(b)
+		return cmp.Or(cmp.Compare(r.left[b], r.left[a]), cmp.Compare(a, b))
 	})
 	var entries []Entry
 	for _, id := range ids[:min(n, len(ids))] {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -173,14 +173,14 @@
 	e.AgeSeconds = 0
 	m := &member{Entry: e, since: since}
 	t.members[e.Record.ID] = m
-	t.count(m)
+	t.toggle(m)
 	t.centreOf(m).membersChanged()
 	t.index++
 	t.follow(m)
 }
 
 func (t *Table) remove(m *member) {
-	t.uncount(m)
+	t.toggle(m)
 	t.centreOf(m).membersChanged()
 	delete(t.members, m.Record.ID)
 	t.index++
@@ -189,9 +189,9 @@
 // change applies f to a member and keeps digests and roles in step.
 func (t *Table) change(m *member, f func()) {
 	dc, status := m.Record.DataCentre, m.Status
-	t.uncount(m)
+	t.toggle(m)
 	f()
-	t.count(m)
+	t.toggle(m)
 	t.index++
 	if m.Status != status || m.Record.DataCentre != dc {
 		t.centre(dc).membersChanged()
