Forget upstreams that ended a minute ago

Cause: each restart of an upstream under a new name left an entry and a probe behind. Change: an upstream that stopped in an orderly way leaves the list after a minute; a crashed one stays, as it may return. Conclusion: the list of a host is bounded by what runs or has crashed there.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -140,7 +141,7 @@
 		return ErrBodyTooLarge
 	}
 	c.sample = first
-	c.stream, c.length = io.MultiReader(newBytesReader(first), r), -1
+	c.stream, c.length = io.MultiReader(bytes.NewReader(first), r), -1
 	return nil
 }
 
--- a/pkg/proxy/client/exchange.go
+++ b/pkg/proxy/client/exchange.go
@@ -72,6 +72,8 @@
 type exchange struct {
 	pool *Pool
 	conn *conn
+	// stop ends the watch on the call's context and reports whether the
+	// connection is still open.
 	stop func() bool
 	done bool
 }
@@ -82,11 +84,10 @@
 		return
 	}
 	x.done = true
-	if reusable && x.stop() {
+	if open := x.stop(); open && reusable {
 		x.pool.put(x.conn)
 		return
 	}
-	x.stop()
 	x.pool.drop(x.conn)
 }
 
--- a/pkg/proxy/copy.go
+++ b/pkg/proxy/copy.go
@@ -1,14 +1,6 @@
 package proxy
 
-import (
-	"bytes"
-	"io"
-
-	"github.com/cloudwego/hertz/pkg/protocol"
-)
-
-// newBytesReader returns a reader of b.
-func newBytesReader(b []byte) io.Reader { return bytes.NewReader(b) }
+import "github.com/cloudwego/hertz/pkg/protocol"
 
 // copyRequestHeader copies what goes on to the next hop.
 func copyRequestHeader(dst, src *protocol.RequestHeader) {
--- a/pkg/proxy/guard.go
+++ b/pkg/proxy/guard.go
@@ -159,7 +159,7 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
-// connOf returns the accepted connection, or nil.
+// connOf returns the connection that a call came on.
 func connOf(ctx context.Context) *guardedConn {
 	c, _ := ctx.Value(connKey{}).(*guardedConn)
 	return c
--- a/pkg/upstream/instance.go
+++ b/pkg/upstream/instance.go
@@ -32,6 +32,8 @@
 	announced model.Upstream
 	machine   *stateless.StateMachine
 	state     model.UpstreamState
+	// changedAt is the time of the last change of state.
+	changedAt time.Time
 	// crashed tells that a stopped upstream may return by itself.
 	crashed bool
 	// refuseFrom is the time from which a leaving upstream takes no new calls.
--- a/pkg/upstream/probe.go
+++ b/pkg/upstream/probe.go
@@ -18,6 +18,8 @@
 	defaultProbeTimeout  = 500 * time.Millisecond
 	// returnInterval is the time between looks at an upstream that crashed.
 	returnInterval = 200 * time.Millisecond
+	// forgetAfter is the time for which a stopped upstream is still listed.
+	forgetAfter = time.Minute
 	// suspectTimeout bounds the look at an upstream whose connection broke.
 	suspectTimeout = 250 * time.Millisecond
 )
@@ -36,7 +38,7 @@
 			return
 		case <-time.After(wait):
 		}
-		if s.replaced(i) {
+		if s.replaced(i) || s.forget(i, time.Now()) {
 			i.pool.Close()
 			return
 		}
@@ -51,6 +53,24 @@
 	return s.instances[name] != i
 }
 
+// forget removes an upstream that ended in an orderly way some time ago, and
+// reports whether it did. One that crashed stays, as it may return by itself.
+func (s *Service) forget(i *Instance, now time.Time) bool {
+	s.mu.Lock()
+	i.mu.Lock()
+	gone := i.state == model.UpstreamStopped && !i.crashed && i.inFlight == 0 && now.Sub(i.changedAt) >= forgetAfter
+	name := i.announced.Name
+	i.mu.Unlock()
+	if gone {
+		delete(s.instances, name)
+	}
+	s.mu.Unlock()
+	if gone {
+		s.publish()
+	}
+	return gone
+}
+
 // probeSpec returns the probe of the bundle in force, with defaults.
 func (s *Service) probeSpec(i *Instance) bundle.Probe {
 	var p bundle.Probe
--- a/pkg/upstream/service.go
+++ b/pkg/upstream/service.go
@@ -242,6 +242,7 @@
 // changed runs after a transition, with the instance locked.
 func (s *Service) changed(i *Instance, from, to model.UpstreamState, why trigger) {
 	i.state = to
+	i.changedAt = time.Now()
 	i.crashed = why == triggerCrash
 	if to == model.UpstreamRunning {
 		i.announced.Since = time.Now()
