Read a roll-out at least once, whatever the timeout

Cause: TestRollNamesWhoIsBehind failed once under load: with a timeout of 10 ms the first read of the head was cut, so roll ended with exit code 1 in place of 5. Ruled out: the platform stand-in (it answered; the client's context had ended). Change: the timeout of bundle roll bounds the following, not the reads; each run reads the roll-out once. Conclusion: the exit code no longer depends on the machine's load.

--- a/pkg/cli/bundleroll.go
+++ b/pkg/cli/bundleroll.go
@@ -51,7 +51,7 @@
 }
 
 func (c *bundleRollCmd) run(ctx context.Context, env Env) int {
-	return c.with(ctx, env, c.Timeout, func(ctx context.Context, s *session) error {
+	return c.with(ctx, env, c.Timeout+askTimeout, func(ctx context.Context, s *session) error {
 		accepted, err := c.accepted(ctx, s.store)
 		if err != nil {
 			return err
@@ -91,11 +91,13 @@
 	return list, sourcePlatform, err
 }
 
-// follow reads the roll-out until it is complete or ctx ends. While neither the
-// platform nor a node can be read it says so and goes on.
+// follow reads the roll-out, at least once, until it is complete or the timeout
+// has passed. While neither the platform nor a node can be read it says so and
+// goes on.
 func (c *bundleRollCmd) follow(ctx context.Context, env Env, store platform.Store, version model.Version) (rollReport, error) {
 	view := newRollView(env, c.JSON)
 	report := rollReport{Version: version}
+	timeout := time.After(c.Timeout)
 	for {
 		progress, source, err := c.progress(ctx, store)
 		switch {
@@ -115,10 +117,12 @@
 		}
 		select {
 		case <-time.After(rollInterval):
+			continue
+		case <-timeout:
 		case <-ctx.Done():
-			view.end()
-			return report, nil
 		}
+		view.end()
+		return report, nil
 	}
 }
 
