--- a/pkg/bench/calls/result.go
+++ b/pkg/bench/calls/result.go
@@ -102,12 +102,12 @@
 		}
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "scenario\tpolicy\tclass\tcalls\tgood\tp50\tp99\ttwice\tnot-run ran\tcut\trefusals")
+	_, _ = fmt.Fprintln(t, "scenario\tpolicy\tclass\tcalls\tgood\tp50\tp99\ttwice\tnot-run ran\tcut\tcrashes\trefusals")
 	for _, s := range r.Scenarios {
 		for _, class := range slices.Sorted(maps.Keys(s.Classes)) {
 			c := s.Classes[class]
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f%%\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Name, s.Policy, class, c.Calls, 100*c.GoodShare(),
-				rounded(c.P50), rounded(c.P99), s.Orders.RunTwice+s.Orders.IntentTwice, s.Orders.NotRunRan, s.PlannedStopCuts, refusals(c.Refusals))
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f%%\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Policy, class, c.Calls, 100*c.GoodShare(),
+				rounded(c.P50), rounded(c.P99), s.Orders.RunTwice+s.Orders.IntentTwice, s.Orders.NotRunRan, s.PlannedStopCuts, s.Crashes, refusals(c.Refusals))
 		}
 	}
 	for _, f := range r.Failures {
--- a/pkg/ledger/steward.go
+++ b/pkg/ledger/coordinator.go
@@ -15,7 +15,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/order"
 )
 
-// run polls the stewards of the hosted services until ctx ends.
+// run polls the coordinators of the hosted services until ctx ends.
 func (s *Service) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.noteDeaths()
@@ -57,14 +57,14 @@
 func (s *Service) tick(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, name := range s.hosted() {
-		wg.Go(func() { s.tend(ctx, name) })
+		wg.Go(func() { s.maintain(ctx, name) })
 	}
 	wg.Wait()
 }
 
-// tend keeps the ranges of a service extended and evenly spread.
-func (s *Service) tend(ctx context.Context, name string) {
-	s.consult(ctx, name)
+// maintain keeps the ranges of a service extended and evenly spread.
+func (s *Service) maintain(ctx context.Context, name string) {
+	s.refresh(ctx, name)
 	if !s.stopping() {
 		s.rebalance(ctx, name)
 	}
@@ -93,12 +93,12 @@
 	s.announce(ctx, svc)
 }
 
-// consult extends the ranges of a service as its steward, or polls the steward.
-func (s *Service) consult(ctx context.Context, name string) {
+// refresh extends the ranges of a service as its coordinator, or polls the coordinator.
+func (s *Service) refresh(ctx context.Context, name string) {
 	peers := ranked(hosting(s.source.View(), name), name)
 	for _, p := range peers {
 		if p.ID == s.self.Node {
-			s.lead(ctx, name)
+			s.coordinate(ctx, name)
 			return
 		}
 		if s.poll(ctx, name, p, false) == nil {
@@ -107,24 +107,26 @@
 	}
 }
 
-// poll asks a peer for the table of a service.
-func (s *Service) poll(ctx context.Context, name string, p mesh.Peer, create bool) error {
+// newPoll returns what this node asks about a service.
+func (s *Service) newPoll(name string, create bool) pollRequest {
+	m, ok := s.source.View().Members[s.self.Node]
+	takes := s.takes(name)
 	s.mu.Lock()
-	had := s.service(name)
+	defer s.mu.Unlock()
+	svc := s.service(name)
 	req := pollRequest{
-		Service: name, Create: create,
-		Known: had.table.Version, Layout: had.layout, Takers: digest(had.takers),
+		Service: name, Takes: takes, Create: create,
+		Known: svc.table.Version, Layout: svc.layout, Takers: digest(svc.takers),
 	}
-	s.mu.Unlock()
-	if m, ok := s.source.View().Members[s.self.Node]; ok && hosts(m, name) {
+	if ok && hosts(m, name) || len(svc.book.Owned()) > 0 {
 		req.Owner = s.self
 	}
-	s.mu.Lock()
-	if len(s.service(name).book.Owned()) > 0 {
-		req.Owner = s.self
-	}
-	s.mu.Unlock()
-	req.Takes = s.takes(name)
+	return req
+}
+
+// poll asks a peer for the table of a service.
+func (s *Service) poll(ctx context.Context, name string, p mesh.Peer, create bool) error {
+	req := s.newPoll(name, create)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply pollReply
@@ -141,7 +143,7 @@
 	if !reply.Down {
 		svc.outage.note(time.Now(), nil)
 	} else if !svc.outage.failing() {
-		svc.outage.note(time.Now(), errStewardDown)
+		svc.outage.note(time.Now(), errCoordinatorDown)
 	}
 	if reply.Table != nil {
 		s.adopt(svc, *reply.Table, "")
@@ -166,7 +168,7 @@
 	if s.source == nil || !s.takes(req.Service) {
 		return nil, fmt.Errorf("ledger: service %q is not hosted here: %w", req.Service, errNotHosted)
 	}
-	s.hear(req)
+	s.noteAlive(req)
 	s.mu.Lock()
 	known := s.service(req.Service).table.Version > 0
 	s.mu.Unlock()
@@ -203,8 +205,8 @@
 	return h.Sum64()
 }
 
-// hear notes that an owner is alive.
-func (s *Service) hear(req pollRequest) {
+// noteAlive notes that an owner is alive.
+func (s *Service) noteAlive(req pollRequest) {
 	if req.Owner.Node == "" {
 		return
 	}
@@ -233,8 +235,8 @@
 	return list
 }
 
-// lead extends the ranges of a service if that is due.
-func (s *Service) lead(ctx context.Context, name string) {
+// coordinate extends the ranges of a service if that is due.
+func (s *Service) coordinate(ctx context.Context, name string) {
 	s.mu.Lock()
 	svc := s.service(name)
 	svc.takers = s.alive(svc, true)
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -45,7 +45,7 @@
 		if done {
 			continue
 		}
-		s.consult(ctx, name)
+		s.refresh(ctx, name)
 		if err := s.cut(ctx, svc, nil); err != nil {
 			s.opts.Log.Emit(event.OrderHandOverFail, event.F("service", name), event.F("error", err))
 			continue
@@ -87,7 +87,7 @@
 }
 
 // successors returns the other owners that can take further shards, as the
-// steward told last.
+// coordinator told last.
 func (s *Service) successors(name string) []order.Owner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +104,7 @@
 func (s *Service) handOver(ctx context.Context) {
 	s.cutOnce(ctx)
 	for _, name := range s.hosted() {
-		s.consult(ctx, name)
+		s.refresh(ctx, name)
 		s.mu.Lock()
 		svc := s.service(name)
 		svc.book.Freeze()
--- a/pkg/ledger/hosts.go
+++ b/pkg/ledger/hosts.go
@@ -40,7 +40,7 @@
 }
 
 // ranked returns the peers in rendezvous order for a name. The first one is the
-// steward; the order is a hint that saves traffic and nothing rests on it.
+// coordinator; the order is a hint that saves traffic and nothing rests on it.
 func ranked(peers []mesh.Peer, name string) []mesh.Peer {
 	r := make([]mesh.Peer, 0, len(peers))
 	rest := slices.Clone(peers)
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -27,7 +27,7 @@
 const Name = "orders"
 
 const (
-	// tickInterval is the time between two polls of a service's steward.
+	// tickInterval is the time between two polls of a service's coordinator.
 	tickInterval = 2 * time.Second
 	// ownerTimeout is the silence after which an owner counts as gone.
 	ownerTimeout = 10 * time.Second
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -28,7 +28,7 @@
 	// Takers are the owners that can be given further shards, if the sender knows
 	// others.
 	Takers []order.Owner `cbor:"2,keyasint,omitempty"`
-	// Down tells that the steward cannot write to the platform.
+	// Down tells that the coordinator cannot write to the platform.
 	Down bool `cbor:"3,keyasint,omitempty"`
 	// Extension takes the place of Table if nothing else has changed in it.
 	Extension *order.Extension `cbor:"4,keyasint,omitempty"`
--- a/pkg/ledger/update.go
+++ b/pkg/ledger/update.go
@@ -18,8 +18,8 @@
 var (
 	// errNotHosted: this node runs no upstream of the service.
 	errNotHosted = errors.New("service is not hosted on this node")
-	// errStewardDown: the steward cannot write to the platform.
-	errStewardDown = errors.New("steward cannot reach the platform")
+	// errCoordinatorDown: the coordinator cannot write to the platform.
+	errCoordinatorDown = errors.New("coordinator cannot reach the platform")
 	// errContended: other nodes changed the object at each attempt.
 	errContended = errors.New("object kept changing")
 )
