Count timeouts of nested calls against the upstream

Cause: a nested call brings the time that is left, a little less than the route gives, and counted as asking for too little; its timeouts ejected nobody. Change: only callers with less than half of the route's time are impatient. Conclusion: stalled upstreams are ejected by nested callers as well.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -31,7 +31,8 @@
 	ctx      context.Context
 	start    time.Time
 	deadline time.Time
-	// impatient calls asked for less time than route and service give.
+	// impatient calls asked for less than half the time that route or service
+	// give. Nested calls, which bring what is left, are usually patient.
 	impatient bool
 
 	service  string
--- a/pkg/proxy/fault_test.go
+++ b/pkg/proxy/fault_test.go
@@ -320,6 +320,28 @@
 	is.Equal(do(t, "GET", near.url("/shades"), "").reason(), "no-route")
 }
 
+// Callers that ask for far too little time do not get an upstream ejected;
+// those with enough do.
+func TestImpatientCallersEjectNobody(t *testing.T) {
+	is := is.New(t)
+	b := catalogue()
+	b.Services[0].Timeout = bundle.Duration(100 * time.Millisecond)
+	m := newMesh()
+	n := m.start(t, "a", b, nil)
+	for _, name := range []string{"c1", "c2"} {
+		n.serve(t, "catalogue", name, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	}
+	settle(t, n, 2)
+	for range 12 {
+		is.Equal(do(t, "GET", n.url("/"), "", "Tarragondrum-Timeout", "10ms").status, 504)
+	}
+	is.Equal(n.counted(t, "endpoint_ejections_total", "catalogue"), 0.0)
+	for range 12 {
+		is.Equal(do(t, "GET", n.url("/"), "", "Tarragondrum-Timeout", "80ms").status, 504)
+	}
+	is.Equal(n.counted(t, "endpoint_ejections_total", "catalogue"), 1.0)
+}
+
 // An upstream that answers its probes but fails its calls is ejected by them,
 // and the good one carries the load.
 func TestUpstreamThatFailsCallsIsEjected(t *testing.T) {
--- a/pkg/proxy/handle.go
+++ b/pkg/proxy/handle.go
@@ -78,7 +78,7 @@
 	return &call{
 		start:     start,
 		deadline:  start.Add(timeout),
-		impatient: timeout < limit,
+		impatient: timeout < limit/2,
 		service:   svc.Name,
 		class:     route.Class,
 		depth:     Depth{Level: depth.Level + 1, Retried: depth.Retried},
