Let a node lead only after it has been a lead for a while

Cause: a node that had just started saw few members, took itself for a lead, and listed, watched and loaded. Change: a node must be among the leads for 500 to 1000 ms before it watches the platform. Conclusion: a returning herd costs the platform one call for each node; the membership makes it.

--- a/pkg/bench/rollout/bounds_test.go
+++ b/pkg/bench/rollout/bounds_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// A node that returns reads its data centre's contacts once; only leads do more.
+func TestReturningHerdDoesNotStormPlatform(t *testing.T) {
+	is := is.New(t)
+	small := measureInBubble(t, ScenarioHerd, 24)
+	large := measureInBubble(t, ScenarioHerd, 72)
+	t.Logf("calls per change: %.1f with 8 returning nodes, %.1f with 24", small.PlatformCalls, large.PlatformCalls)
+	const returning = 24 - 8
+	const slack = 12 // summaries and changed leads in three data centres
+	is.True(large.PlatformCalls-small.PlatformCalls <= returning+slack)
+}
+
 func TestLineThroughPoints(t *testing.T) {
 	is := is.New(t)
 	intercept, slope := line([]float64{10, 20, 40}, []float64{7, 12, 22})
--- a/pkg/distributor/options.go
+++ b/pkg/distributor/options.go
@@ -46,6 +46,10 @@
 	// LeadGrace is the time that a lead waits for the first lead's push before it
 	// loads a version itself.
 	LeadGrace time.Duration
+	// LeadDelay is the time for which a node must be among the leads before it
+	// watches the platform, and up to as long again, at random. A node that has
+	// just started sees few members and often takes itself for a lead.
+	LeadDelay time.Duration
 	// GatewayDelay is the time before another data centre is offered a version,
 	// in which it usually learns it from the platform.
 	GatewayDelay time.Duration
@@ -87,6 +91,7 @@
 	PushTimeout:      400 * time.Millisecond,
 	PushAttempts:     2,
 	LeadGrace:        500 * time.Millisecond,
+	LeadDelay:        500 * time.Millisecond,
 	GatewayDelay:     150 * time.Millisecond,
 	PullGrace:        300 * time.Millisecond,
 	PullTimeout:      2 * time.Second,
@@ -115,6 +120,7 @@
 	setInt(&t.Bases, d.Bases)
 	setDuration(&t.PushTimeout, d.PushTimeout)
 	setDuration(&t.LeadGrace, d.LeadGrace)
+	setDuration(&t.LeadDelay, d.LeadDelay)
 	setDuration(&t.GatewayDelay, d.GatewayDelay)
 	setDuration(&t.PullGrace, d.PullGrace)
 	setDuration(&t.PullTimeout, d.PullTimeout)
--- a/pkg/distributor/watch.go
+++ b/pkg/distributor/watch.go
@@ -74,6 +74,10 @@
 			w.awaitMembers(ctx)
 			continue
 		}
+		delay := w.s.tuning.LeadDelay
+		if !sleep(ctx, delay+w.s.jitter(delay)) || !w.s.group().leading() {
+			continue
+		}
 		w.s.log.Emit(event.RolloutLead, event.F("leading", true))
 		w.follow(ctx)
 		w.s.log.Emit(event.RolloutLead, event.F("leading", false))
