--- a/pkg/distributor/options.go
+++ b/pkg/distributor/options.go
@@ -112,39 +112,35 @@
 
 func (t Tuning) withDefaults() Tuning {
 	d := defaultTuning
-	setInt(&t.Fanout, d.Fanout)
-	setInt(&t.Leads, d.Leads)
-	setInt(&t.PushAttempts, d.PushAttempts)
-	setInt(&t.PullAttempts, d.PullAttempts)
-	setInt(&t.PullServers, d.PullServers)
-	setInt(&t.Bases, d.Bases)
-	setDuration(&t.PushTimeout, d.PushTimeout)
-	setDuration(&t.LeadGrace, d.LeadGrace)
-	setDuration(&t.LeadDelay, d.LeadDelay)
-	setDuration(&t.GatewayDelay, d.GatewayDelay)
-	setDuration(&t.PullGrace, d.PullGrace)
-	setDuration(&t.PullTimeout, d.PullTimeout)
-	setDuration(&t.RefusalHold, d.RefusalHold)
-	setDuration(&t.ReportWindow, d.ReportWindow)
-	setDuration(&t.ReportRefresh, d.ReportRefresh)
-	setDuration(&t.ProgressInterval, d.ProgressInterval)
-	setDuration(&t.Reread, d.Reread)
-	setDuration(&t.PlatformTimeout, d.PlatformTimeout)
-	setDuration(&t.BackoffMin, d.BackoffMin)
-	setDuration(&t.BackoffMax, d.BackoffMax)
-	setDuration(&t.JoinWait, d.JoinWait)
-	setDuration(&t.ReadyTimeout, d.ReadyTimeout)
+	setDefault(&t.Fanout, d.Fanout)
+	setDefault(&t.Leads, d.Leads)
+	setDefault(&t.PushAttempts, d.PushAttempts)
+	setDefault(&t.PullAttempts, d.PullAttempts)
+	setDefault(&t.PullServers, d.PullServers)
+	setDefault(&t.Bases, d.Bases)
+	setDefault(&t.PushTimeout, d.PushTimeout)
+	setDefault(&t.LeadGrace, d.LeadGrace)
+	setDefault(&t.LeadDelay, d.LeadDelay)
+	setDefault(&t.GatewayDelay, d.GatewayDelay)
+	setDefault(&t.PullGrace, d.PullGrace)
+	setDefault(&t.PullTimeout, d.PullTimeout)
+	setDefault(&t.RefusalHold, d.RefusalHold)
+	setDefault(&t.ReportWindow, d.ReportWindow)
+	setDefault(&t.ReportRefresh, d.ReportRefresh)
+	setDefault(&t.ProgressInterval, d.ProgressInterval)
+	setDefault(&t.Reread, d.Reread)
+	setDefault(&t.PlatformTimeout, d.PlatformTimeout)
+	setDefault(&t.BackoffMin, d.BackoffMin)
+	setDefault(&t.BackoffMax, d.BackoffMax)
+	setDefault(&t.JoinWait, d.JoinWait)
+	setDefault(&t.ReadyTimeout, d.ReadyTimeout)
 	return t
 }
 
-func setInt(v *int, value int) {
-	if *v == 0 {
-		*v = value
-	}
-}
-
-func setDuration(v *time.Duration, value time.Duration) {
-	if *v == 0 {
+// setDefault replaces the zero value.
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
 		*v = value
 	}
 }
--- a/pkg/distributor/pull.go
+++ b/pkg/distributor/pull.go
@@ -216,12 +216,8 @@
 
 // handlePull answers a peer that asks for the newest version.
 func (s *Service) handlePull(_ context.Context, from mesh.Peer, body []byte) (any, error) {
-	if !s.running() {
-		return nil, errNotStarted
-	}
-	r, err := decodePull(body)
+	r, err := receive(s, from, body, decodePull)
 	if err != nil {
-		s.badMessage(from, err)
 		return nil, err
 	}
 	reply := pullReply{Version: s.Applied(), Ready: s.isReady(), ConfirmedMs: toMs(s.lastConfirmed())}
--- a/pkg/distributor/report.go
+++ b/pkg/distributor/report.go
@@ -161,12 +161,8 @@
 
 // handleReport takes the summary of a child.
 func (s *Service) handleReport(_ context.Context, from mesh.Peer, body []byte) (any, error) {
-	if !s.running() {
-		return nil, errNotStarted
-	}
-	r, err := decodeReport(body)
+	r, err := receive(s, from, body, decodeReport)
 	if err != nil {
-		s.badMessage(from, err)
 		return nil, err
 	}
 	if s.reporter.take(from.ID, r.Summary) {
--- a/pkg/distributor/status.go
+++ b/pkg/distributor/status.go
@@ -138,3 +138,25 @@
 	}
 	return now.Sub(t), true
 }
+
+// confirm notes that the platform confirmed the version in force at time t.
+func (s *Service) confirm(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.After(s.confirmed) {
+		s.confirmed = t
+	}
+}
+
+func (s *Service) lastConfirmed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+// remember adds an acceptance to the history, newest first.
+func (s *Service) remember(accs ...bundle.Acceptance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = mergeHistory(s.history, accs)
+}
