Use the probe interval of the settings

Cause: mesh.probeInterval was read, checked and ignored. Change: the node passes it to the membership. Conclusion: the setting works.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -165,12 +165,13 @@
 			InboundAddr: s.Inbound.Address,
 			Incarnation: uint64(time.Now().UnixNano()),
 		},
-		Transport: transport,
-		Log:       n.log,
-		Registry:  n.registry,
-		Platform:  store,
-		Contacts:  s.Mesh.Contacts,
-		Seed:      seed(s.Node.ID),
+		Transport:     transport,
+		Log:           n.log,
+		Registry:      n.registry,
+		Platform:      store,
+		Contacts:      s.Mesh.Contacts,
+		Seed:          seed(s.Node.ID),
+		ProbeInterval: s.Mesh.ProbeInterval.Std(),
 	})
 }
 
