--- a/pkg/ledger/failure_test.go
+++ b/pkg/ledger/failure_test.go
@@ -29,10 +29,7 @@
 // answered unknown, fresh ones not run, and a caller finds another shard with
 // a new key. The shards with a short look-ahead are taken over.
 func TestOwnerCrash(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		key := c.ownedBy("a", "c")
 		is.True(c.send("a", key).ran)
 		c.crash("c")
@@ -55,10 +52,7 @@
 // A node that was paused until others took its shards over still runs only
 // keys of its own range, and what it runs the others answer unknown or refuse.
 func TestPausedOwnerReturns(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		paused := c.nodes["c"]
 		held := c.ownedBy("a", "c")
 		c.faults.CutPeer("c")
@@ -87,10 +81,7 @@
 // A lost answer to an update of the owners is read back; a write that lands
 // late does no harm.
 func TestLostPlatformAnswers(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		for range 10 {
 			c.store.LoseAnswers(1)
 			keys, ran := c.sendMany("a", 30)
@@ -110,10 +101,7 @@
 // Two nodes that both lead a service because each sees the other as failed do
 // not give the same key to two owners.
 func TestTwoCoordinatorsRace(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b"}, func(t *testing.T, is *is.I, c *cluster) {
 		c.faults.CutPeer("a")
 		for range 120 {
 			for _, from := range []model.NodeID{"a", "b"} {
@@ -136,10 +124,7 @@
 // While an order runs, a re-send is told so and when to come back; with
 // another body it is refused.
 func TestResendInProgress(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b"}, func(t *testing.T, is *is.I, c *cluster) {
 		key := c.ownedBy("a", "b")
 		owner := c.nodes["b"].ledger
 		is.Equal(owner.Begin(t.Context(), request(key)).Verdict, order.VerdictRun)
@@ -170,10 +155,7 @@
 		{"late platform write", func(c *cluster) { c.store.DeferWrites(1) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			bubble(t, func(t *testing.T, is *is.I) {
-				c := newCluster(t, "a", "b", "c")
-				defer c.close()
-				time.Sleep(settle)
+			settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 				keys, ran := c.sendMany("a", 100)
 				is.Equal(ran, 100)
 				test.breakIt(c)
@@ -203,10 +185,7 @@
 // Two nodes that stop at the same time do not pass on ranges whose records they
 // do not have.
 func TestTwoStopsAtOnce(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c", "d")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c", "d"}, func(t *testing.T, is *is.I, c *cluster) {
 		keys, _ := c.sendMany("a", 200)
 		done := make(chan error, 2)
 		for _, id := range []model.NodeID{"c", "d"} {
@@ -228,10 +207,7 @@
 // A node whose upstream is gone soon gets no further orders, and still answers
 // re-sent ones.
 func TestUpstreamGone(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		key := c.ownedBy("a", "c")
 		is.True(c.send("a", key).ran)
 		c.members.update(func(all map[model.NodeID]membership.Member) {
@@ -251,10 +227,7 @@
 // While the platform is down, orders go on in the shards with a long
 // look-ahead for an hour, and are refused as not run afterwards.
 func TestPlatformDownPastLookahead(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		c.store.SetDown(true)
 		time.Sleep(time.Minute)
 		for start := time.Now(); time.Since(start) < time.Hour; {
@@ -275,10 +248,7 @@
 
 // Two owners crash one after the other.
 func TestOwnerCrashesTwice(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		keys, _ := c.sendMany("a", 100)
 		for _, id := range []model.NodeID{"c", "b"} {
 			c.crash(id)
@@ -299,10 +269,7 @@
 // An opaque key is claimed on the platform: it runs once, whoever asks, and not
 // at all while the platform is down.
 func TestOpaqueKeys(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		is.True(c.send("a", "invoice 17").ran)
 		is.Equal(c.send("b", "invoice 17").effect, reason.Run)
 		c.store.LoseAnswers(1)
@@ -325,10 +292,7 @@
 
 // A claim whose write lands late belongs to one node, and only that runs it.
 func TestOpaqueClaimLandsLate(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b"}, func(t *testing.T, is *is.I, c *cluster) {
 		c.store.DeferWrites(5)
 		is.Equal(c.send("a", "invoice 20").effect, reason.NotRun)
 		c.store.ReleaseWrites()
@@ -344,10 +308,7 @@
 
 // Malformed messages from a peer are refused and change nothing.
 func TestMalformedMessages(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b"}, func(t *testing.T, is *is.I, c *cluster) {
 		b := c.nodes["b"].transport
 		to := c.nodes["a"].transport.Self()
 		for _, kind := range []mesh.Kind{mesh.KindOrderAdmission, mesh.KindOrderTransfer, mesh.KindOrderRecord} {
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -19,12 +19,19 @@
 	synctest.Test(t, func(t *testing.T) { test(t, is.New(t)) })
 }
 
-// A re-send gets the stored outcome on whichever node it arrives.
-func TestResendGetsStoredOutcome(t *testing.T) {
+// settled runs a test on a service whose owners know each other.
+func settled(t *testing.T, ids []model.NodeID, test func(t *testing.T, is *is.I, c *cluster)) {
 	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c")
+		c := newCluster(t, ids...)
 		defer c.close()
 		time.Sleep(settle)
+		test(t, is, c)
+	})
+}
+
+// A re-send gets the stored outcome on whichever node it arrives.
+func TestResendGetsStoredOutcome(t *testing.T) {
+	settled(t, []model.NodeID{"a", "b", "c"}, func(t *testing.T, is *is.I, c *cluster) {
 		keys, ran := c.sendMany("a", 100)
 		is.Equal(ran, 100)
 		for _, key := range keys {
@@ -40,10 +47,7 @@
 
 // Ten minutes of orders cost a write in ten seconds, whatever their number.
 func TestPlatformWritesDoNotFollowOrders(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		c := newCluster(t, "a", "b", "c", "d", "e")
-		defer c.close()
-		time.Sleep(settle)
+	settled(t, []model.NodeID{"a", "b", "c", "d", "e"}, func(t *testing.T, is *is.I, c *cluster) {
 		before := c.store.Calls()
 		for range 600 {
 			_, ran := c.sendMany("a", 10)
