--- a/pkg/bench/rollout/rollout.go
+++ b/pkg/bench/rollout/rollout.go
@@ -137,8 +137,6 @@
 	MemoryBytes float64 `json:"memoryBytes"`
 	// PlatformCallsPerSecond is the sum over all nodes.
 	PlatformCallsPerSecond float64 `json:"platformCallsPerSecond"`
-	// Watches is the number of watches that wait at the platform.
-	Watches int `json:"watches"`
 }
 
 // Result is everything that was measured.
--- a/pkg/distributor/push.go
+++ b/pkg/distributor/push.go
@@ -23,7 +23,7 @@
 	// covered is the newest version that is known to be pushed in this data
 	// centre: this node started it, handed it over or received it in a push.
 	covered model.Version
-	// relayed holds the span that this node pushes the version in force to.
+	// relayed holds the spans that this node has pushed a version to.
 	relayed map[rollout.Span]model.Version
 	cancel  context.CancelFunc
 	version model.Version
