Let a crashing stand-in upstream never answer with an empty success

The stand-in counts a crash before it has closed its connections; a call that ended in between returned without an answer, which the HTTP library ends as an empty 200. Change: such a call closes its connection. A broken promise names its first cases. Conclusion: the fault was the stand-in's.

--- a/pkg/bench/calls/caller.go
+++ b/pkg/bench/calls/caller.go
@@ -79,7 +79,9 @@
 	turn    int
 	pools   map[string]*client.Pool
 	classes map[string]*ClassResult
-	wrong   int
+	// wrong counts replies to other calls, wrongReply describes the first.
+	wrong      int
+	wrongReply string
 	// cuts counts attempts that broke off or ended unknown.
 	cuts int
 }
@@ -280,6 +282,14 @@
 	}
 	if r.good() && key == "" && !strings.HasSuffix(r.body, " for attempt "+id) {
 		s.wrong++
+		s.noteWrong(r, id)
+	}
+}
+
+// noteWrong describes the first reply that is not that of its call.
+func (s *callers) noteWrong(r reply, id string) {
+	if s.wrongReply == "" {
+		s.wrongReply = fmt.Sprintf("attempt %q got the reply %q with %+v", id, r.body, r)
 	}
 }
 
--- a/pkg/bench/calls/result.go
+++ b/pkg/bench/calls/result.go
@@ -34,6 +34,8 @@
 	PlannedStopCuts int `json:"plannedStopCuts"`
 	// WrongReplies counts replies that belong to another call.
 	WrongReplies int `json:"wrongReplies"`
+	// WrongReply describes the first of them.
+	WrongReply string `json:"wrongReply,omitempty"`
 	// Crashes counts the crashes of upstreams.
 	Crashes uint64 `json:"crashes"`
 	// PlatformWrites counts the writes that the platform was asked for.
--- a/pkg/bench/calls/run.go
+++ b/pkg/bench/calls/run.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -77,7 +78,7 @@
 		}
 	}
 	if len(result.Failures) > 0 {
-		return result, ErrPromise
+		return result, fmt.Errorf("%w: %s", ErrPromise, strings.Join(result.Failures, "; "))
 	}
 	return result, ctx.Err()
 }
@@ -108,7 +109,8 @@
 	fail(s.Orders.NotRunRan, "attempts answered not run ran")
 	fail(s.Orders.RunMissing, "attempts answered run never ran")
 	fail(s.Orders.WrongAnswer, "orders got another order's answer")
-	fail(s.WrongReplies, "calls got another call's reply")
+	fail(s.WrongReplies, "calls got another call's reply: "+s.WrongReply)
+	r.Failures = append(r.Failures, s.Orders.Faults...)
 	if planned {
 		fail(s.PlannedStopCuts, "calls were cut by a planned stop")
 	}
@@ -158,7 +160,7 @@
 func (sc scenario) result(c *cluster, s *callers, writesBefore uint64) ScenarioResult {
 	r := ScenarioResult{
 		Name: sc.name, Policy: s.policy, Classes: make(map[string]*ClassResult),
-		Orders: c.history.Check(), WrongReplies: s.wrong, PlatformWrites: c.store.Calls().Put - writesBefore,
+		Orders: c.history.Check(), WrongReplies: s.wrong, WrongReply: s.wrongReply, PlatformWrites: c.store.Calls().Put - writesBefore,
 	}
 	if sc.planned {
 		r.PlannedStopCuts = s.cuts
--- a/pkg/bench/upstream/upstream.go
+++ b/pkg/bench/upstream/upstream.go
@@ -193,9 +193,13 @@
 		return
 	}
 	time.Sleep(s.draw())
-	if generation == s.generation.Load() {
-		s.answer(c)
+	if generation != s.generation.Load() {
+		// A crash has begun and may not have reached this connection yet. Without
+		// this, the server would end the call with an empty success.
+		_ = c.GetConn().Close()
+		return
 	}
+	s.answer(c)
 }
 
 // answer records an order as run and replies with a body that names the run.
--- a/pkg/bench/upstream/upstream_test.go
+++ b/pkg/bench/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -53,6 +54,24 @@
 	is.Equal(s.Crashes(), uint64(2))
 }
 
+// No call that a crash cuts ends with an empty success.
+func TestCrashNeverAnswersEmpty(t *testing.T) {
+	for range 20 {
+		s := start(t, upstream.Options{Median: 2 * time.Millisecond, Spread: 1})
+		var calls sync.WaitGroup
+		for range 40 {
+			calls.Go(func() {
+				if status, body := get(s, "/a"); status == http.StatusOK && body == "" {
+					t.Error("a call that the crash cut was answered 200 without a body")
+				}
+			})
+		}
+		time.Sleep(2 * time.Millisecond)
+		s.Crash()
+		calls.Wait()
+	}
+}
+
 // A failing or stalled stand-in still has a good health page; calls over the
 // queue are shed.
 func TestLyingHealthAndShedding(t *testing.T) {
