--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/admin"
@@ -67,6 +68,9 @@
 	inbound    *proxy.Inbound
 	outbound   *proxy.Outbound
 	admin      *admin.Service
+
+	// open is set while the listeners for calls are open.
+	open atomic.Bool
 }
 
 // New assembles a node. Nothing is opened before Start.
@@ -194,6 +198,7 @@
 	if err := n.kernel.Start(ctx, n.stopTimeout()); err != nil {
 		return err
 	}
+	n.open.Store(true)
 	n.log.Emit(event.ProcessStarted,
 		event.F("dataCentre", n.settings.Node.DataCentre),
 		event.F("inbound", n.settings.Inbound.Address),
@@ -204,6 +209,7 @@
 // Stop ends the node gracefully: it cuts off no call that ends within the
 // drain timeout.
 func (n *Node) Stop() error {
+	n.open.Store(false)
 	n.log.Emit(event.ProcessStopping)
 	err := n.kernel.Stop(n.stopTimeout())
 	if err != nil {
@@ -235,7 +241,9 @@
 	return n.settings.Drain.Timeout.Std() + stopMargin
 }
 
-func (n *Node) ready() bool { return n.holder.Current() != nil }
+// ready reports whether the node takes calls: its listeners are open and a
+// bundle is in force.
+func (n *Node) ready() bool { return n.open.Load() && n.holder.Current() != nil }
 
 // takesOrders reports whether the bundle in force has an order route to service.
 func (n *Node) takesOrders(service string) bool {
