--- a/pkg/bench/calls/path.go
+++ b/pkg/bench/calls/path.go
@@ -23,7 +23,7 @@
 	// pathTime is the length of one measurement, pathRounds their number for
 	// each way, so that all ways see the same moods of the machine.
 	pathTime   = time.Second
-	pathRounds = 4
+	pathRounds = 8
 	// costWorkers call as fast as they can for costTime.
 	costWorkers = 64
 	costTime    = time.Second
