Leave an empty reason out of the conflict of a sign-off

Cause: an operator who lost a race was shown a stray pair of quotation marks. Change: the reason is shown only if there is one. Conclusion: the message names winner, version, time and, if given, the reason.

--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -59,8 +59,12 @@
 		return fmt.Sprintf("expected version %d, but no bundle has been accepted yet", e.Expected)
 	}
 	w := e.Winner
-	return fmt.Sprintf("expected version %d, but %s put version %d (bundle %.12s) in force at %s: %q",
-		e.Expected, w.Acceptor, w.Version, w.Bundle, w.Time.Format(time.RFC3339), w.Reason)
+	text := fmt.Sprintf("expected version %d, but %s put version %d (bundle %.12s) in force at %s",
+		e.Expected, w.Acceptor, w.Version, w.Bundle, w.Time.Format(time.RFC3339))
+	if w.Reason != "" {
+		text += fmt.Sprintf(" for the reason %q", w.Reason)
+	}
+	return text
 }
 
 // UnknownError says that the outcome of a sign-off could not be learned.
