Check that every command and flag shown in the documents exists

Cause: documents drift from the command line. Change: docs/docs_test.go runs the help of each shown command and looks for its flags.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -2,14 +2,18 @@
 package docs_test
 
 import (
+	"context"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/cli"
 )
 
 const root = ".."
@@ -52,6 +56,47 @@
 	}
 }
 
+// commandLine matches a command in an indented block or in backquotes.
+var commandLine = regexp.MustCompile("(?m)(?:^ {4}|`)(?:bin/)?tarragondrum ((?:[a-z-]+ ?)+)([^`\n]*)")
+
+var flagName = regexp.MustCompile(`--[a-z-]+`)
+
+// Every command that a document shows exists, with the flags that it shows.
+func TestShownCommandsExist(t *testing.T) {
+	for name, text := range readAll(t, ".md") {
+		for _, m := range commandLine.FindAllStringSubmatch(text, -1) {
+			help, ok := helpOf(strings.Fields(m[1]))
+			if !ok {
+				t.Errorf("%s shows the command %q, which does not exist", name, m[0])
+				continue
+			}
+			for _, flag := range flagName.FindAllString(m[2], -1) {
+				if !strings.Contains(help, flag) {
+					t.Errorf("%s shows the flag %s in %q, which does not exist", name, flag, m[0])
+				}
+			}
+		}
+	}
+}
+
+// helpOf returns the help of the command that the words begin with. A group such
+// as "bundle" is only a command if no further word follows.
+func helpOf(words []string) (string, bool) {
+	for n := 1; n <= min(len(words), 2); n++ {
+		var out strings.Builder
+		argv := append(slices.Clone(words[:n]), "--help")
+		code := cli.Run(context.Background(), argv, cli.Env{Stdout: &out, Stderr: &out})
+		usage := "Usage: tarragondrum " + strings.Join(words[:n], " ")
+		if code != cli.ExitOK || !strings.Contains(out.String(), usage) {
+			return "", false
+		}
+		if isLeaf := strings.Contains(out.String(), "\nExample:"); isLeaf || n == len(words) {
+			return out.String(), true
+		}
+	}
+	return "", false
+}
+
 // readAll returns the text of every file of the tree with the given ending.
 func readAll(t *testing.T, ending string) map[string]string {
 	t.Helper()
