--- a/pkg/node/failures_test.go
+++ b/pkg/node/failures_test.go
@@ -8,6 +8,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/poison"
 	"github.com/tarragondrum/tarragondrum/pkg/reason"
+	"github.com/tarragondrum/tarragondrum/pkg/tree"
 )
 
 var (
@@ -37,6 +38,34 @@
 	})
 }
 
+// A rack takes all leads of a data centre with it at the moment of a sign-off.
+// The nodes that are left take over: the data centre gets the version, and the
+// next one after an outage of the platform.
+func TestAllLeadsOfADataCentreDieAtSignOff(t *testing.T) {
+	const leads = 3
+	run(t, 16, twoCentres, func(c *cluster) {
+		c.settle()
+		c.signOff(1)
+		c.converge(1, 10*time.Second)
+		var ids []model.NodeID
+		for _, s := range c.all() {
+			if s.dc == "cluj-2" {
+				ids = append(ids, s.id)
+			}
+		}
+		c.signOff(2)
+		for _, id := range tree.Leads(ids, "cluj-2", leads) {
+			c.kill(id)
+		}
+		c.converge(2, 17*time.Second)
+		c.store.SetDown(true)
+		time.Sleep(time.Minute)
+		c.store.SetDown(false)
+		c.signOff(3)
+		c.converge(3, 17*time.Second)
+	})
+}
+
 // The platform goes down right after a sign-off while nodes restart, comes back
 // for a moment and goes down again.
 func TestPlatformDownTwiceDuringRestarts(t *testing.T) {
