--- a/pkg/bench/rollout/plot.go
+++ b/pkg/bench/rollout/plot.go
@@ -17,6 +17,7 @@
 	p.X.Label.Text = "nodes"
 	p.Y.Label.Text = "sign-off to last node, ms"
 	p.Legend.Top = true
+	p.Legend.Left = true
 	lines := make(map[string]plotter.XYs)
 	for _, row := range r.Rows {
 		name := fmt.Sprintf("%s, %s, %d DCs", row.Way, row.Scenario, row.DataCentres)
