Mend what the read-through found

Cause: reading the whole change once more. Change: the demo's check of calls during an outage could not fail; it now counts the nodes that answer. Conclusion: no check was loosened.

--- a/pkg/demo/steps.go
+++ b/pkg/demo/steps.go
@@ -279,12 +279,16 @@
 		return fmt.Errorf("switch the platform off: %w", err)
 	}
 	c := t.story.calls[0].call
+	answered := 0
 	for i := range t.mesh.Hosts {
-		if a := t.call(ctx, i, c); !a.Good() {
-			t.promise(false, "node %d answers while the platform is down: %s", i, a)
+		a := t.call(ctx, i, c)
+		if a.Good() {
+			answered++
+			continue
 		}
+		t.say("   through node %d: %s %s", i, a, a.Body)
 	}
-	t.promise(true, "every node was asked while the platform was down")
+	t.promise(answered == len(t.mesh.Hosts), "%d of %d nodes answer while the platform is down", answered, len(t.mesh.Hosts))
 	out, code := t.run(ctx, "handover", "--admin", t.mesh.Hosts[1].AdminURL())
 	t.promise(code == exitOK && strings.Contains(out, "version 2"), "another node tells what is in force and how old its answer is")
 	down = false
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -219,24 +219,12 @@
 	return err
 }
 
-// Settings returns the settings that the node was made from.
-func (n *Node) Settings() settings.Settings { return n.settings }
-
-// Log returns the node's event log.
-func (n *Node) Log() *event.Log { return n.log }
-
-// Registry returns the node's metrics.
-func (n *Node) Registry() *metric.Registry { return n.registry }
-
 // Members returns the node's view of the membership.
 func (n *Node) Members() membership.Source { return n.membership }
 
 // Applied returns the version in force on the node.
 func (n *Node) Applied() model.Version { return n.rollout.Applied() }
 
-// Upstreams returns the upstreams of the node's host.
-func (n *Node) Upstreams() upstream.Manager { return n.upstreams }
-
 func (n *Node) stopTimeout() time.Duration {
 	return n.settings.Drain.Timeout.Std() + stopMargin
 }
