Print the three measurements in one way

Cause: the results were printed by Print, Write and WriteTable, and the command line chose between table and JSON three times. Change: each result has Print; one report step in the command line. Conclusion: one way for all.

--- a/pkg/bench/calls/result.go
+++ b/pkg/bench/calls/result.go
@@ -96,8 +96,8 @@
 	return float64(c.Good) / float64(c.Calls)
 }
 
-// Write prints the result as tables.
-func (r Result) Write(w io.Writer) error {
+// Print prints the result as tables.
+func (r Result) Print(w io.Writer) error {
 	if r.Path != nil {
 		if err := r.Path.write(w); err != nil {
 			return err
--- a/pkg/bench/rollout/table.go
+++ b/pkg/bench/rollout/table.go
@@ -6,8 +6,8 @@
 	"text/tabwriter"
 )
 
-// WriteTable prints a result for people.
-func WriteTable(w io.Writer, r Result) error {
+// Print writes the result as tables.
+func (r Result) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintf(t, "bundle of %d services and %d routes, one route changed; times from sign-off, bytes per node and change\n\n", r.Size.Services, r.Size.Routes)
 	_, _ = fmt.Fprintln(t, "scenario\tway\tnodes\tDCs\tseed\tp50 ms\tp99 ms\tlast ms\tdelta B\ttotal B\tpayload\toverhead\trepair\tcalls\t")
--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bench/calls"
@@ -41,15 +42,22 @@
 	if err != nil && !errors.Is(err, calls.ErrPromise) {
 		return env.fail(ExitFailed, err)
 	}
-	if c.JSON {
-		return env.report(err, func() error { return env.printJSON(result) })
-	}
-	return env.report(err, func() error { return result.Write(env.Stdout) })
+	return env.report(result, c.JSON, err)
+}
+
+// printer is the result of a measurement.
+type printer interface {
+	// Print writes the result as tables.
+	Print(w io.Writer) error
 }
 
 // report prints a result and then fails with the error of the run, if any.
-func (e Env) report(runErr error, print func() error) int {
-	if err := errors.Join(print(), runErr); err != nil {
+func (e Env) report(result printer, asJSON bool, runErr error) int {
+	show := func() error { return result.Print(e.Stdout) }
+	if asJSON {
+		show = func() error { return e.printJSON(result) }
+	}
+	if err := errors.Join(show(), runErr); err != nil {
 		return e.fail(ExitFailed, err)
 	}
 	return ExitOK
@@ -82,10 +90,7 @@
 	if err != nil {
 		return env.fail(ExitFailed, err)
 	}
-	if c.JSON {
-		return env.report(nil, func() error { return env.printJSON(result) })
-	}
-	return env.report(nil, func() error { return result.Print(env.Stdout) })
+	return env.report(result, c.JSON, nil)
 }
 
 type benchRolloutCmd struct {
@@ -119,8 +124,5 @@
 	if err != nil {
 		return env.fail(ExitFailed, err)
 	}
-	if c.JSON {
-		return env.report(nil, func() error { return env.printJSON(result) })
-	}
-	return env.report(nil, func() error { return rollout.WriteTable(env.Stdout, result) })
+	return env.report(result, c.JSON, nil)
 }
