--- a/pkg/bundle/accept.go
+++ b/pkg/bundle/accept.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync/atomic"
 	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
 )
 
 // signatureContext separates these signatures from any other use of a key.
@@ -79,6 +81,27 @@
 	return nil
 }
 
+// VerifyConfig checks that the record of a configuration names that version and
+// content, and is signed by a trusted key.
+func (k *Keyring) VerifyConfig(c *meshconf.Config, record []byte) error {
+	if len(record) == 0 {
+		return fmt.Errorf("version %d was not signed off: %w", c.Version, ErrSignature)
+	}
+	h, err := DecodeHead(record)
+	if err != nil {
+		return err
+	}
+	a := &h.Acceptance
+	digest, err := c.Digest()
+	if err != nil {
+		return err
+	}
+	if uint64(a.Version) != c.Version || a.Config != digest {
+		return fmt.Errorf("version %d with digest %.12s, accepted were version %d with %.12s: %w", c.Version, digest, a.Version, a.Config, ErrContent)
+	}
+	return k.Verify(a)
+}
+
 func (a *Acceptance) signedBytes() ([]byte, error) {
 	unsigned := *a
 	unsigned.Signature = nil
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -16,14 +16,10 @@
 	ErrInvalid = errors.New("bundle: invalid content")
 	// ErrSignature: the acceptance is not signed by a trusted key.
 	ErrSignature = errors.New("bundle: bad signature")
-	// ErrContent: the content does not match the accepted bundle id.
-	ErrContent = errors.New("bundle: content does not match its id")
-	// ErrBase: a delta does not start from the content at hand.
-	ErrBase = errors.New("bundle: delta has another base")
-	// ErrStale: the version is not newer than the applied one.
-	ErrStale = errors.New("bundle: version is not newer")
-	// ErrParent: the acceptance does not follow the expected parent.
-	ErrParent = errors.New("bundle: acceptance has another parent")
+	// ErrContent: the content does not match the accepted bundle.
+	ErrContent = errors.New("bundle: content does not match what was accepted")
+	// ErrMalformed: a record of acceptances cannot be read.
+	ErrMalformed = errors.New("bundle: record of acceptances cannot be read")
 )
 
 // ID is the hash of a bundle's content in lower-case hexadecimal.
@@ -34,61 +30,42 @@
 type Bundle struct {
 	Services []Service `json:"services,omitempty" cbor:"1,keyasint"`
 	Routes   []Route   `json:"routes,omitempty" cbor:"2,keyasint"`
+	Limits   Limits    `json:"limits" cbor:"3,keyasint"`
 }
 
 // Service describes a service that routes may point at.
 type Service struct {
-	Name               string      `json:"name" cbor:"1,keyasint" help:"unique name: lower-case letters, digits and inner hyphens; required"`
-	Timeout            Duration    `json:"timeout" cbor:"2,keyasint" default:"5s" help:"longest time for a call that brings no deadline of its own, 1ms to 10m"`
-	RetryBudgetPercent int         `json:"retryBudgetPercent" cbor:"3,keyasint" default:"10" help:"largest share of calls that may be retries, in percent"`
-	MaxBodyBytes       int64       `json:"maxBodyBytes" cbor:"4,keyasint" default:"1048576" help:"largest request body in bytes; 0 means no bound of the service's own"`
-	Queue              QueueLimits `json:"queue" cbor:"5,keyasint"`
-	Probe              Probe       `json:"probe" cbor:"6,keyasint"`
-	Warmup             Duration    `json:"warmup" cbor:"7,keyasint" default:"10s" help:"length of the cold-start ramp of a new upstream, up to 1h"`
-	MaxEjectedPercent  int         `json:"maxEjectedPercent" cbor:"8,keyasint" default:"30" help:"largest share of upstreams that are ejected at a time, in percent"`
+	Name           string   `json:"name" cbor:"1,keyasint" help:"unique name: lower-case letters, digits and inner hyphens; required"`
+	Timeout        Duration `json:"timeout" cbor:"2,keyasint" default:"5s" help:"longest time that a request waits on a route without a timeout of its own, 1ms to 10m"`
+	HealthPath     string   `json:"healthPath" cbor:"3,keyasint" default:"/healthz" help:"path at which the platform asks an upstream for its health; the nodes do not ask"`
+	MaxConnections int      `json:"maxConnections" cbor:"4,keyasint" default:"128" help:"connections that one upstream accepts, 1 to 100000"`
 }
 
-// QueueLimits is the number of waiting calls per upstream and class.
-type QueueLimits struct {
-	Interactive int `json:"interactive" cbor:"1,keyasint" default:"32" help:"interactive calls that may wait for a slot of one upstream"`
-	Order       int `json:"order" cbor:"2,keyasint" default:"16" help:"orders that may wait for a slot of one upstream"`
-	Batch       int `json:"batch" cbor:"3,keyasint" default:"256" help:"batch calls that may wait for a slot of one upstream"`
-	Internal    int `json:"internal" cbor:"4,keyasint" default:"16" help:"internal calls that may wait for a slot of one upstream"`
+// Limits bound what callers may send. One file of the bundle may hold them.
+type Limits struct {
+	HeaderBytes   int      `json:"headerBytes" cbor:"1,keyasint" default:"16384" help:"largest header of a request in bytes, 256 to 1048576"`
+	BodyBytes     int64    `json:"bodyBytes" cbor:"2,keyasint" default:"1048576" help:"largest body of a request in bytes, up to 1073741824"`
+	HeaderTimeout Duration `json:"headerTimeout" cbor:"3,keyasint" default:"3s" help:"longest time that a caller may take for a header, 100ms to 1m"`
+	IdleTimeout   Duration `json:"idleTimeout" cbor:"4,keyasint" default:"15s" help:"longest time that a caller may leave a connection idle, 1s to 10m"`
 }
 
-// Of returns the limit of class c.
-func (q QueueLimits) Of(c model.Class) int {
-	switch c {
-	case model.ClassInteractive:
-		return q.Interactive
-	case model.ClassOrder:
-		return q.Order
-	case model.ClassBatch:
-		return q.Batch
-	case model.ClassInternal:
-		return q.Internal
-	}
-	return 0
-}
-
-// Probe describes an HTTP health probe.
-type Probe struct {
-	Path     string   `json:"path" cbor:"1,keyasint" help:"path that is requested by GET; without it the upstreams are not probed"`
-	Interval Duration `json:"interval" cbor:"2,keyasint" default:"5s" help:"time between two probes of one upstream, 100ms to 10m"`
-	Timeout  Duration `json:"timeout" cbor:"3,keyasint" default:"1s" help:"longest time for one probe, at most the interval"`
-}
-
-// Route sends matching calls to a service.
+// Route sends matching requests to a service, or to several by weight.
 type Route struct {
 	Name       string      `json:"name" cbor:"1,keyasint" help:"unique name, like that of a service; required"`
-	Host       string      `json:"host" cbor:"2,keyasint" help:"host name that is matched exactly, without port; without it every host matches that has no route of its own"`
-	PathPrefix string      `json:"pathPrefix" cbor:"3,keyasint" default:"/" help:"prefix that is matched by whole path segments; the longest one wins"`
-	Methods    []string    `json:"methods,omitempty" cbor:"4,keyasint" help:"HTTP methods; without them the route takes those that no other route of the same host and prefix names"`
-	Service    string      `json:"service" cbor:"5,keyasint" help:"name of the service that takes the calls; required"`
-	Class      model.Class `json:"class" cbor:"6,keyasint" help:"traffic class: interactive, order (not idempotent), batch or internal; required"`
-	Timeout    Duration    `json:"timeout" cbor:"7,keyasint" help:"longest time for a call; without it the service's"`
-	Attempts   int         `json:"attempts" cbor:"8,keyasint" help:"largest number of tries of an idempotent call, 1 to 5; without it 1 for class order and 2 for others"`
-	Internal   bool        `json:"internal" cbor:"9,keyasint" default:"false" help:"whether the route is matched on the outbound listener only; required to be true for class internal"`
+	Host       string      `json:"host" cbor:"2,keyasint" help:"host name that is matched exactly, without port; required"`
+	PathPrefix string      `json:"pathPrefix" cbor:"3,keyasint" default:"/" help:"prefix that begins and ends with a slash; of the routes of a host the longest that matches wins"`
+	Service    string      `json:"service" cbor:"4,keyasint" help:"name of the service that takes the requests; required without parts"`
+	Parts      []Part      `json:"parts,omitempty" cbor:"5,keyasint" help:"services that share the requests by weight, in place of service"`
+	Class      model.Class `json:"class" cbor:"6,keyasint" help:"traffic class: order (runs at most once), interactive, batch or internal, the most urgent first; required"`
+	Timeout    Duration    `json:"timeout" cbor:"7,keyasint" help:"longest time that a request waits, 1ms to 10m; without it the service's"`
+	Target     Duration    `json:"target" cbor:"8,keyasint" help:"time within which an answer is of full use to its caller, at most the timeout; without it two fifths of the timeout"`
+	Attempts   int         `json:"attempts" cbor:"9,keyasint" default:"2" help:"largest number of upstreams that one request is sent to, 1 to 5; an order is sent on only if it did not run"`
+}
+
+// Part is one service of a split route.
+type Part struct {
+	Service string `json:"service" cbor:"1,keyasint" help:"name of the service; required"`
+	Weight  int    `json:"weight" cbor:"2,keyasint" help:"share of the requests among the weights of the route, 0 to 1000000"`
 }
 
 // Duration is a time.Duration that is written as text such as "250ms".
@@ -113,10 +90,13 @@
 }
 
 // Acceptance is the signed statement that a bundle is in force from a version
-// on. It is everything that a node needs to trust content from any peer.
+// on. A node that knows the operators' keys needs nothing else to trust a
+// configuration from any source.
 type Acceptance struct {
 	Version model.Version `json:"version" cbor:"1,keyasint"`
 	Bundle  ID            `json:"bundle" cbor:"2,keyasint"`
+	// Config is the digest of the configuration that nodes put in force.
+	Config string `json:"config" cbor:"11,keyasint"`
 	// Parent is the bundle that was in force before; empty for version 1.
 	Parent ID `json:"parent" cbor:"3,keyasint"`
 	// Acceptor is the operator who signed off, Preparer the one who prepared.
--- a/pkg/bundle/bundletest/bundletest.go
+++ b/pkg/bundle/bundletest/bundletest.go
@@ -11,8 +11,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/jsonc"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
 )
 
 // Bundle generates normalized bundles of unique names; they need not be valid.
@@ -30,11 +31,12 @@
 // Valid returns a small bundle that passes every check: one service of the given
 // name and a route to it.
 func Valid(service string) bundle.Bundle {
-	timeout := bundle.Duration(time.Second)
-	return bundle.Bundle{
-		Services: []bundle.Service{{Name: service, Timeout: timeout}},
-		Routes:   []bundle.Route{{Name: service, PathPrefix: "/", Service: service, Class: model.ClassBatch, Attempts: 1}},
+	b := bundle.Bundle{
+		Services: []bundle.Service{{Name: service, Timeout: bundle.Duration(time.Second), HealthPath: "/healthz", MaxConnections: 9}},
+		Routes:   []bundle.Route{{Name: service, Host: "desk.example", PathPrefix: "/", Service: service, Class: model.ClassBatch, Attempts: 1}},
 	}
+	jsonc.ApplyDefaults(&b.Limits)
+	return b
 }
 
 func name() *rapid.Generator[string] { return rapid.StringMatching(`[a-d]{1,3}`) }
@@ -48,42 +50,50 @@
 func service() *rapid.Generator[bundle.Service] {
 	return rapid.Custom(func(t *rapid.T) bundle.Service {
 		return bundle.Service{
-			Name:               name().Draw(t, "name"),
-			Timeout:            duration().Draw(t, "timeout"),
-			RetryBudgetPercent: rapid.IntRange(0, 100).Draw(t, "budget"),
-			Queue:              bundle.QueueLimits{Batch: rapid.IntRange(0, 9).Draw(t, "batch")},
-			Probe:              bundle.Probe{Path: rapid.SampledFrom([]string{"", "/health"}).Draw(t, "path")},
+			Name:           name().Draw(t, "name"),
+			Timeout:        duration().Draw(t, "timeout"),
+			HealthPath:     rapid.SampledFrom([]string{"/", "/health"}).Draw(t, "path"),
+			MaxConnections: rapid.IntRange(0, 9).Draw(t, "connections"),
 		}
 	})
 }
 
+func part() *rapid.Generator[bundle.Part] {
+	return rapid.Custom(func(t *rapid.T) bundle.Part {
+		return bundle.Part{Service: name().Draw(t, "part"), Weight: rapid.IntRange(0, 9).Draw(t, "weight")}
+	})
+}
+
 func route() *rapid.Generator[bundle.Route] {
 	return rapid.Custom(func(t *rapid.T) bundle.Route {
 		return bundle.Route{
 			Name:       name().Draw(t, "name"),
-			Host:       rapid.SampledFrom([]string{"", "desk.example"}).Draw(t, "host"),
-			PathPrefix: fmt.Sprintf("/%s", name().Draw(t, "prefix")),
-			Methods:    rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"GET", "POST", "PUT"}), 0, 3, rapid.ID[string]).Draw(t, "methods"),
+			Host:       rapid.SampledFrom([]string{"a.example", "desk.example"}).Draw(t, "host"),
+			PathPrefix: fmt.Sprintf("/%s/", name().Draw(t, "prefix")),
 			Service:    name().Draw(t, "service"),
+			Parts:      rapid.SliceOfNDistinct(part(), 0, 3, func(p bundle.Part) string { return p.Service }).Draw(t, "parts"),
 			Class:      rapid.SampledFrom(model.Classes()).Draw(t, "class"),
 			Timeout:    duration().Draw(t, "timeout"),
+			Target:     duration().Draw(t, "target"),
 			Attempts:   rapid.IntRange(1, 3).Draw(t, "attempts"),
-			Internal:   rapid.Bool().Draw(t, "internal"),
 		}
 	})
 }
 
+// InForceKey stands for the one object that nodes follow where a hook names it.
+var InForceKey = objects.Key{Collection: "in force"}
+
 // HookedStore calls Before in front of every read and write of single objects;
 // an error from it is the answer to the call.
 type HookedStore struct {
-	platform.Store
-	Before func(key platform.Key) error
+	objects.Store
+	Before func(key objects.Key) error
 }
 
 // PauseAfter returns a hook that calls pause once, after the given number of
 // calls.
-func PauseAfter(calls int, pause func()) func(platform.Key) error {
-	return func(platform.Key) error {
+func PauseAfter(calls int, pause func()) func(objects.Key) error {
+	return func(objects.Key) error {
 		calls--
 		if calls == -1 {
 			pause()
@@ -93,15 +103,15 @@
 }
 
 // Get reads one object.
-func (s *HookedStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+func (s *HookedStore) Get(ctx context.Context, key objects.Key) (objects.Object, error) {
 	if err := s.Before(key); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
 // Put writes one object.
-func (s *HookedStore) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifRevision platform.Revision) (platform.Revision, error) {
+func (s *HookedStore) Put(ctx context.Context, key objects.Key, value json.RawMessage, ifRevision objects.Revision) (objects.Revision, error) {
 	if err := s.Before(key); err != nil {
 		return "", err
 	}
@@ -109,9 +119,25 @@
 }
 
 // Delete removes one object.
-func (s *HookedStore) Delete(ctx context.Context, key platform.Key, ifRevision platform.Revision) error {
+func (s *HookedStore) Delete(ctx context.Context, key objects.Key, ifRevision objects.Revision) error {
 	if err := s.Before(key); err != nil {
 		return err
 	}
 	return s.Store.Delete(ctx, key, ifRevision)
 }
+
+// InForce reads what is in force.
+func (s *HookedStore) InForce(ctx context.Context) (objects.InForce, error) {
+	if err := s.Before(InForceKey); err != nil {
+		return objects.InForce{}, err
+	}
+	return s.Store.InForce(ctx)
+}
+
+// Accept puts a configuration in force.
+func (s *HookedStore) Accept(ctx context.Context, next objects.InForce) (objects.Revision, error) {
+	if err := s.Before(InForceKey); err != nil {
+		return "", err
+	}
+	return s.Store.Accept(ctx, next)
+}
--- a/pkg/bundle/changes.go
+++ b/pkg/bundle/changes.go
@@ -20,7 +20,7 @@
 // Change is one object that differs between two bundles.
 type Change struct {
 	Action Action `json:"action"`
-	// Kind is KeyServices or KeyRoutes.
+	// Kind is KeyServices, KeyRoutes or KeyLimits.
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 	// Fields lists what differs in a changed object.
@@ -37,6 +37,9 @@
 // String writes the change in one line.
 func (c Change) String() string {
 	object := strings.TrimSuffix(c.Kind, "s") + " " + c.Name
+	if c.Kind == KeyLimits {
+		object = c.Kind
+	}
 	switch c.Action {
 	case ActionAdd:
 		return "+ " + object
@@ -51,10 +54,14 @@
 }
 
 // Changes lists the objects that differ between two normalized bundles, services
-// first, sorted by name.
+// first, sorted by name, and the limits last.
 func Changes(from, to *Bundle) []Change {
-	changes := changesOf(KeyServices, from.Services, to.Services, serviceName)
-	return append(changes, changesOf(KeyRoutes, from.Routes, to.Routes, routeName)...)
+	changes := changesOf(KeyServices, from.Services, to.Services, func(s Service) string { return s.Name })
+	changes = append(changes, changesOf(KeyRoutes, from.Routes, to.Routes, func(r Route) string { return r.Name })...)
+	if fields := fieldChanges("", reflect.ValueOf(from.Limits), reflect.ValueOf(to.Limits)); len(fields) > 0 {
+		changes = append(changes, Change{Action: ActionChange, Kind: KeyLimits, Fields: fields})
+	}
+	return changes
 }
 
 func changesOf[T any](kind string, from, to []T, name func(T) string) []Change {
@@ -79,6 +86,28 @@
 	return changes
 }
 
+// diff returns the elements of to that are new or changed, and the names of
+// the elements of from that are gone.
+func diff[T any](from, to []T, name func(T) string) (put []T, gone []string) {
+	old := make(map[string]T, len(from))
+	for _, v := range from {
+		old[name(v)] = v
+	}
+	for _, v := range to {
+		was, ok := old[name(v)]
+		if !ok || !reflect.DeepEqual(was, v) {
+			put = append(put, v)
+		}
+		delete(old, name(v))
+	}
+	for _, v := range from {
+		if _, ok := old[name(v)]; ok {
+			gone = append(gone, name(v))
+		}
+	}
+	return put, gone
+}
+
 // fieldChanges compares two structs of one type, key by key.
 func fieldChanges(parent string, from, to reflect.Value) []FieldChange {
 	var changes []FieldChange
--- a/pkg/bundle/source/source.go
+++ b/pkg/bundle/source/source.go
@@ -12,19 +12,17 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/jsonc"
-	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // Extension is the ending of the files that belong to a bundle.
 const Extension = ".jsonc"
 
-// defaultAttempts is for idempotent calls; others are tried once.
-const defaultAttempts = 2
-
-// file is the content of one file. Any file may hold services and routes.
+// file is the content of one file. Any file may hold services and routes, and
+// one the limits.
 type file struct {
 	Services []bundle.Service `json:"services"`
 	Routes   []bundle.Route   `json:"routes"`
+	Limits   bundle.Limits    `json:"limits"`
 }
 
 // Load reads every file of the folder and its subfolders, fills in defaults and
@@ -40,6 +38,7 @@
 		return bundle.Bundle{}, []bundle.Fault{{File: dir, Message: message}}
 	}
 	l := loader{dir: dir, services: make(map[string]place), routes: make(map[string]place)}
+	jsonc.ApplyDefaults(&l.bundle.Limits)
 	for _, name := range names {
 		l.load(name)
 	}
@@ -84,7 +83,9 @@
 	bundle   bundle.Bundle
 	services map[string]place
 	routes   map[string]place
-	faults   []bundle.Fault
+	// limits is where the limits stand; nil while no file has them.
+	limits *place
+	faults []bundle.Fault
 	// unread tells that a file could not be read at all, so that references into
 	// it cannot be checked.
 	unread bool
@@ -97,6 +98,7 @@
 	for _, fault := range faults {
 		l.unread = l.unread || fault.Key == ""
 	}
+	l.setLimits(f.Limits, positions)
 	for i, s := range f.Services {
 		p := place{positions: positions, key: fmt.Sprintf("services[%d]", i)}
 		if l.define(l.services, "service", s.Name, p) {
@@ -105,22 +107,23 @@
 	}
 	for i, r := range f.Routes {
 		p := place{positions: positions, key: fmt.Sprintf("routes[%d]", i)}
-		setAttempts(&r, p)
 		if l.define(l.routes, "route", r.Name, p) {
 			l.bundle.Routes = append(l.bundle.Routes, r)
 		}
 	}
 }
 
-// setAttempts fills in the default that depends on the route's class.
-func setAttempts(r *bundle.Route, p place) {
-	switch {
-	case p.positions.Has(p.key + ".attempts"):
-	case r.Class == model.ClassOrder:
-		r.Attempts = 1
-	default:
-		r.Attempts = defaultAttempts
+// setLimits takes the limits of a file, of which there may be one.
+func (l *loader) setLimits(limits bundle.Limits, positions *jsonc.Positions) {
+	if !positions.Has(bundle.KeyLimits) {
+		return
+	}
+	p := place{positions: positions, key: bundle.KeyLimits}
+	if l.limits != nil {
+		l.faults = append(l.faults, positions.Fault(bundle.KeyLimits, "limits are already given in %s", l.limits.describe()))
+		return
 	}
+	l.limits, l.bundle.Limits = &p, limits
 }
 
 // define notes where an object stands. It refuses a second one of its name and
@@ -158,6 +161,9 @@
 
 // locate turns the key of a fault in the bundle into file, line and key.
 func (l *loader) locate(f bundle.Fault) bundle.Fault {
+	if strings.HasPrefix(f.Key, bundle.KeyLimits) && l.limits != nil {
+		return l.limits.positions.Fault(f.Key, "%s", f.Message)
+	}
 	kind, rest, _ := strings.Cut(f.Key, "/")
 	places := l.services
 	if kind == bundle.KeyRoutes {
@@ -183,14 +189,14 @@
 
 A bundle is a folder of files that end in ` + "`.jsonc`" + `, in any number of
 subfolders: JSON with comments and trailing commas. Each file may hold services
-and routes. ` + "`tarragondrum bundle check DIR`" + ` checks a folder without the
-platform and reports every fault with file, line and key. Defaults are written
-into the bundle when it is prepared, so a later program with other defaults
-does not change its meaning.
-
-Two routes of the same host and path prefix must differ in their methods. A
-call is matched by its exact host first and by routes without a host second,
-then by the longest path prefix, then by method.
+and routes, and one of them the limits. ` + "`tarragondrum bundle check DIR`" + ` checks a
+folder without the platform and reports every fault with file, line and key.
+Defaults are written into the bundle when it is prepared, so a later program
+with other defaults does not change its meaning.
+
+Durations are whole milliseconds, written like ` + "`250ms`" + ` or ` + "`2s`" + `. Two routes must
+differ in their host or path prefix. A request is matched by its exact host and
+the longest path prefix.
 
 Written by ` + "`tarragondrum bundle reference`" + `.
 
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"regexp"
-	"slices"
 	"strings"
 	"time"
 
@@ -12,19 +11,19 @@
 
 // Limits of a bundle's content.
 const (
-	maxServices       = 10_000
-	maxRoutes         = 50_000
 	maxNameLength     = 128
 	maxPathLength     = 1024
 	maxAttempts       = 5
-	maxQueue          = 100_000
+	maxWeight         = 1_000_000
+	maxConnections    = 100_000
+	minHeaderBytes    = 256
+	maxHeaderBytes    = 1 << 20
 	maxBodyBytes      = 1 << 30
 	minTimeout        = time.Millisecond
 	maxTimeout        = 10 * time.Minute
-	minProbeInterval  = 100 * time.Millisecond
-	maxProbeInterval  = 10 * time.Minute
-	maxWarmup         = time.Hour
-	percent           = 100
+	minHeaderTimeout  = 100 * time.Millisecond
+	maxHeaderTimeout  = time.Minute
+	minIdleTimeout    = time.Second
 	maxFaultsReported = 200
 	maxFaultsInError  = 3
 )
@@ -34,6 +33,7 @@
 const (
 	KeyServices = "services"
 	KeyRoutes   = "routes"
+	KeyLimits   = "limits"
 )
 
 var (
@@ -41,12 +41,6 @@
 	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
 )
 
-// knownMethods are the methods that a route can name.
-var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
-
-// safeMethods never change anything on the upstream.
-var safeMethods = []string{"GET", "HEAD", "OPTIONS"}
-
 // Validate returns every broken rule of a normalized bundle. Operators' tools
 // and nodes run the same checks. At most maxFaultsReported faults are returned.
 func Validate(b *Bundle) []Fault {
@@ -58,6 +52,7 @@
 	for i := range b.Routes {
 		v.checkRoute(&b.Routes[i])
 	}
+	v.checkLimits(&b.Limits)
 	v.checkDuplicates(b)
 	v.checkConflicts(b)
 	if len(v.faults) > maxFaultsReported {
@@ -92,12 +87,6 @@
 	if len(b.Services) == 0 {
 		v.fault(KeyServices, "bundle has no services")
 	}
-	if len(b.Services) > maxServices {
-		v.fault(KeyServices, "bundle has %d services, at most %d are allowed", len(b.Services), maxServices)
-	}
-	if len(b.Routes) > maxRoutes {
-		v.fault(KeyRoutes, "bundle has %d routes, at most %d are allowed", len(b.Routes), maxRoutes)
-	}
 	raw, err := encMode.Marshal(b)
 	if err != nil || len(raw) > MaxContentBytes {
 		v.fault("", "bundle has %d bytes, at most %d are allowed", len(raw), MaxContentBytes)
@@ -109,70 +98,69 @@
 	v.services[s.Name] = true
 	v.checkName(key, s.Name)
 	v.checkDuration(key+".timeout", s.Timeout, minTimeout, maxTimeout)
-	v.checkRange(key+".retryBudgetPercent", s.RetryBudgetPercent, 0, percent)
-	v.checkRange(key+".maxBodyBytes", s.MaxBodyBytes, 0, maxBodyBytes)
-	v.checkRange(key+".queue.interactive", s.Queue.Interactive, 0, maxQueue)
-	v.checkRange(key+".queue.order", s.Queue.Order, 0, maxQueue)
-	v.checkRange(key+".queue.batch", s.Queue.Batch, 0, maxQueue)
-	v.checkRange(key+".queue.internal", s.Queue.Internal, 0, maxQueue)
-	v.checkDuration(key+".warmup", s.Warmup, 0, maxWarmup)
-	v.checkRange(key+".maxEjectedPercent", s.MaxEjectedPercent, 0, percent)
-	if s.Probe.Path != "" {
-		v.checkProbe(key+".probe", s.Probe)
-	}
+	v.checkPath(key+".healthPath", s.HealthPath)
+	v.checkRange(key+".maxConnections", s.MaxConnections, 1, maxConnections)
 }
 
-func (v *validator) checkProbe(key string, p Probe) {
-	v.checkPath(key+".path", p.Path)
-	v.checkDuration(key+".interval", p.Interval, minProbeInterval, maxProbeInterval)
-	v.checkDuration(key+".timeout", p.Timeout, minTimeout, maxTimeout)
-	if p.Timeout > p.Interval {
-		v.fault(key+".timeout", "probe timeout %s is longer than its interval %s", p.Timeout.Std(), p.Interval.Std())
-	}
+func (v *validator) checkLimits(l *Limits) {
+	v.checkRange(KeyLimits+".headerBytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes)
+	v.checkRange(KeyLimits+".bodyBytes", l.BodyBytes, 0, maxBodyBytes)
+	v.checkDuration(KeyLimits+".headerTimeout", l.HeaderTimeout, minHeaderTimeout, maxHeaderTimeout)
+	v.checkDuration(KeyLimits+".idleTimeout", l.IdleTimeout, minIdleTimeout, maxTimeout)
 }
 
 func (v *validator) checkRoute(r *Route) {
 	key := KeyRoutes + "/" + r.Name
 	v.checkName(key, r.Name)
-	if r.Host != "" && !hostPattern.MatchString(r.Host) {
+	if !hostPattern.MatchString(r.Host) {
 		v.fault(key+".host", "host %q is not a lower-case host name without port", r.Host)
 	}
 	v.checkPath(key+".pathPrefix", r.PathPrefix)
-	if len(r.PathPrefix) > 1 && strings.HasSuffix(r.PathPrefix, "/") {
-		v.fault(key+".pathPrefix", "path prefix %q must not end in /; a prefix covers whole segments", r.PathPrefix)
-	}
-	v.checkMethods(key+".methods", r.Methods)
-	if !v.services[r.Service] {
-		v.fault(key+".service", "service %q does not exist in this bundle", r.Service)
+	if !strings.HasSuffix(r.PathPrefix, "/") {
+		v.fault(key+".pathPrefix", "path prefix %q must end in /; a prefix covers whole segments", r.PathPrefix)
 	}
+	v.checkParts(key, r)
 	if !r.Class.Valid() {
 		v.fault(key+".class", "class %q is unknown; known are %v", r.Class, model.Classes())
 	}
 	if r.Timeout != 0 {
 		v.checkDuration(key+".timeout", r.Timeout, minTimeout, maxTimeout)
 	}
+	if r.Target != 0 {
+		v.checkDuration(key+".target", r.Target, minTimeout, maxTimeout)
+	}
+	if r.Timeout != 0 && r.Target > r.Timeout {
+		v.fault(key+".target", "target %s is longer than the timeout %s", r.Target.Std(), r.Timeout.Std())
+	}
 	v.checkRange(key+".attempts", r.Attempts, 1, maxAttempts)
-	v.checkClass(key, r)
 }
 
-// checkClass holds the rules that tie a route's class to its other fields.
-func (v *validator) checkClass(key string, r *Route) {
-	if r.Class == model.ClassInternal && !r.Internal {
-		v.fault(key+".internal", "a route of class internal must set internal to true")
-	}
-	if r.Class != model.ClassOrder {
+// checkParts checks where the requests of a route go.
+func (v *validator) checkParts(key string, r *Route) {
+	if len(r.Parts) == 0 {
+		if !v.services[r.Service] {
+			v.fault(key+".service", "service %q does not exist in this bundle", r.Service)
+		}
 		return
 	}
-	if r.Attempts > 1 {
-		v.fault(key+".attempts", "a route of class order is not idempotent and has exactly 1 attempt")
-	}
-	if len(r.Methods) == 0 {
-		v.fault(key+".methods", "a route of class order must name its methods")
+	if r.Service != "" {
+		v.fault(key+".service", "route has both service %q and parts", r.Service)
 	}
-	for _, m := range r.Methods {
-		if slices.Contains(safeMethods, m) {
-			v.fault(key+".methods", "method %s changes nothing and cannot be of class order", m)
+	total := 0
+	seen := make(map[string]bool, len(r.Parts))
+	for _, p := range r.Parts {
+		if !v.services[p.Service] {
+			v.fault(key+".parts", "service %q does not exist in this bundle", p.Service)
+		}
+		if seen[p.Service] {
+			v.fault(key+".parts", "service %q is given twice", p.Service)
 		}
+		seen[p.Service] = true
+		v.checkRange(key+".parts", p.Weight, 0, maxWeight)
+		total += p.Weight
+	}
+	if total == 0 {
+		v.fault(key+".parts", "route has no weight")
 	}
 }
 
@@ -197,23 +185,13 @@
 	return strings.Contains(path, "//") || strings.Contains(slashed, "/../") || strings.Contains(slashed, "/./")
 }
 
-func (v *validator) checkMethods(key string, methods []string) {
-	seen := make(map[string]bool, len(methods))
-	for _, m := range methods {
-		if !slices.Contains(knownMethods, m) {
-			v.fault(key, "method %q is unknown; known are %s", m, strings.Join(knownMethods, ", "))
-		}
-		if seen[m] {
-			v.fault(key, "method %q is given twice", m)
-		}
-		seen[m] = true
-	}
-}
-
 func (v *validator) checkDuration(key string, d Duration, low, high time.Duration) {
 	if d.Std() < low || d.Std() > high {
 		v.fault(key, "duration %s must be between %s and %s", d.Std(), low, high)
 	}
+	if d.Std()%time.Millisecond != 0 {
+		v.fault(key, "duration %s must be whole milliseconds", d.Std())
+	}
 }
 
 func (v *validator) checkRange(key string, n any, low, high int64) {
--- a/pkg/bundlestore/lifecycle.go
+++ b/pkg/bundlestore/lifecycle.go
@@ -6,7 +6,6 @@
 	"github.com/qmuntal/stateless"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
-	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // State is the state of a stored bundle. The manifest holds it; whether an
@@ -82,7 +81,7 @@
 
 // StateAt returns the state of the bundle beside a head that was read after the
 // manifest.
-func (m Manifest) StateAt(h *Head) State {
+func (m Manifest) StateAt(h *bundle.Head) State {
 	m.settle(h)
 	inForce := h.Acceptance.Version > 0 && h.Acceptance.Bundle == m.Bundle
 	switch {
@@ -99,11 +98,11 @@
 // settle ends a claim whose version the head has passed: the sign-off either
 // won, and the head lists it, or can no longer win. Where the head no longer
 // lists the version, the bundle counts as accepted, which keeps it longer.
-func (m *Manifest) settle(h *Head) {
+func (m *Manifest) settle(h *bundle.Head) {
 	if m.State != StateSigning || h.Acceptance.Version < m.Claimed {
 		return
 	}
-	id, listed := h.bundleOf(m.Claimed)
+	id, listed := h.BundleOf(m.Claimed)
 	won := listed && id == m.Bundle
 	if won {
 		m.Accepted = m.Claimed
@@ -116,13 +115,3 @@
 		m.State = next
 	}
 }
-
-// bundleOf returns the bundle that a version put in force, if the head lists it.
-func (h *Head) bundleOf(v model.Version) (bundle.ID, bool) {
-	for _, a := range h.All() {
-		if a.Version == v {
-			return a.Bundle, true
-		}
-	}
-	return "", false
-}
--- a/pkg/cli/bundle.go
+++ b/pkg/cli/bundle.go
@@ -10,11 +10,11 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/hostconf"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/platform/rest"
-	"github.com/tarragondrum/tarragondrum/pkg/settings"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
 	"github.com/tarragondrum/tarragondrum/pkg/signoff"
+	"github.com/tarragondrum/tarragondrum/platform"
 )
 
 const (
@@ -40,19 +40,16 @@
 	Reference *bundleReferenceCmd `arg:"subcommand:reference" help:"print every key of the bundle files with type, default and meaning"`
 }
 
-// platformFlags say how to reach the platform.
-type platformFlags struct {
-	Platform  string `arg:"--platform,env:TARRAGONDRUM_PLATFORM" placeholder:"URL" help:"base URL of the platform's object API"`
-	Mesh      string `arg:"--mesh,env:TARRAGONDRUM_MESH" placeholder:"NAME" help:"namespace of the mesh"`
-	TokenFile string `arg:"--platform-token-file,env:TARRAGONDRUM_PLATFORM_TOKEN_FILE" placeholder:"FILE" help:"file with the platform's bearer token"`
-	CAFile    string `arg:"--platform-ca-file,env:TARRAGONDRUM_PLATFORM_CA_FILE" placeholder:"FILE" help:"PEM certificates that sign the platform's"`
-	Settings  string `arg:"--settings,env:TARRAGONDRUM_SETTINGS" placeholder:"FILE" help:"settings file of a node, for the platform and the operators' keys"`
+// storeFlags say how to reach the platform's store.
+type storeFlags struct {
+	Store    string `arg:"--store,env:TARRAGONDRUM_STORE" placeholder:"IP:PORT" help:"address of the platform's object store"`
+	Settings string `arg:"--settings,env:TARRAGONDRUM_SETTINGS" placeholder:"FILE" help:"settings file of a node, for the store and the operators' keys"`
 }
 
 // session is what a bundle command works with.
 type session struct {
-	store platform.Store
-	// keyring holds the operators' keys; nil without a settings file.
+	store objects.Store
+	// keyring holds the operators' keys; nil without a settings file that has them.
 	keyring *bundle.Keyring
 }
 
@@ -95,58 +92,36 @@
 	return text + ": " + f.Message
 }
 
-// open reads the settings, if any, and returns a client of the platform.
-func (f platformFlags) open() (*session, error) {
-	config := rest.Config{URL: f.Platform, Mesh: f.Mesh, TokenFile: f.TokenFile, CAFile: f.CAFile}
+// open reads the settings, if any, and returns a client of the store and what
+// closes it.
+func (f storeFlags) open() (*session, func(), error) {
 	s := &session{}
 	if f.Settings != "" {
-		file, faults := settings.LoadPlatform(f.Settings)
-		if len(faults) > 0 {
-			return nil, &faultsError{faults: faults}
-		}
-		config = fromSettings(config, file.Platform)
-		keyring, err := file.Keyring()
+		file, _, err := hostconf.Load(f.Settings)
 		if err != nil {
-			return nil, &usageError{err: err}
+			return nil, nil, &usageError{err: err}
+		}
+		s.keyring = file.Keyring()
+		if f.Store == "" {
+			f.Store = file.Store.Address
 		}
-		s.keyring = keyring
-	}
-	if config.URL == "" || config.Mesh == "" {
-		return nil, usagef("say how to reach the platform: --platform URL and --mesh NAME, or --settings FILE")
-	}
-	client, err := rest.New(config)
-	if err != nil {
-		return nil, &usageError{err: err}
-	}
-	s.store = client
-	return s, nil
-}
-
-// fromSettings fills in what the command line left open.
-func fromSettings(c rest.Config, p settings.Platform) rest.Config {
-	if c.URL == "" {
-		c.URL = p.URL
-	}
-	if c.Mesh == "" {
-		c.Mesh = p.Mesh
-	}
-	if c.TokenFile == "" {
-		c.TokenFile = p.TokenFile
 	}
-	if c.CAFile == "" {
-		c.CAFile = p.CAFile
+	if f.Store == "" {
+		return nil, nil, usagef("say how to reach the store: --store IP:PORT or --settings FILE")
 	}
-	c.Timeout = p.Timeout.Std()
-	return c
+	client := platform.NewStore(f.Store, func(string, string) {})
+	s.store = platform.NewObjects(client)
+	return s, client.Close, nil
 }
 
-// with opens the platform, does the work within the timeout and turns an error
-// into an exit code.
-func (f platformFlags) with(ctx context.Context, env Env, timeout time.Duration, work func(context.Context, *session) error) int {
+// with opens the store, does the work within the timeout and turns an error into
+// an exit code.
+func (f storeFlags) with(ctx context.Context, env Env, timeout time.Duration, work func(context.Context, *session) error) int {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	s, err := f.open()
+	s, done, err := f.open()
 	if err == nil {
+		defer done()
 		err = work(ctx, s)
 	}
 	return env.exit(err)
--- a/pkg/cli/bundleprepare.go
+++ b/pkg/cli/bundleprepare.go
@@ -58,7 +58,7 @@
 }
 
 type bundlePrepareCmd struct {
-	platformFlags
+	storeFlags
 	Dir         string        `arg:"positional" help:"folder of the bundle"`
 	FromVersion model.Version `arg:"--from-version" placeholder:"N" help:"prepare the content of an older version instead of a folder"`
 	As          string        `arg:"--as,env:TARRAGONDRUM_OPERATOR" placeholder:"NAME" help:"name of the operator who prepares"`
@@ -117,7 +117,7 @@
 		return prepareReport{}, err
 	}
 	var inForce bundle.Bundle
-	if head.Acceptance.Version > 0 {
+	if head.Acceptance.Bundle != "" {
 		if inForce, err = bundlestore.Load(ctx, s.store, head.Acceptance.Bundle); err != nil {
 			return prepareReport{}, err
 		}
--- a/pkg/cli/bundleroll.go
+++ b/pkg/cli/bundleroll.go
@@ -11,108 +11,109 @@
 	"golang.org/x/term"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
+	"github.com/tarragondrum/tarragondrum/pkg/handover"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/rollout"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
 )
 
-// rollInterval is the time between two reads of the roll-out: one list call.
-const rollInterval = 500 * time.Millisecond
+const (
+	// rollInterval is the time between two rounds of questions to all nodes.
+	rollInterval = 500 * time.Millisecond
+	// shownBehind is the number of nodes that are named in each data centre.
+	shownBehind = 8
+)
 
 type bundleRollCmd struct {
-	platformFlags
-	adminFlags
-	Version     model.Version `arg:"--version" placeholder:"N" help:"version to follow; by default the one in force"`
-	DataCentres []string      `arg:"--data-centres" placeholder:"NAME" help:"data centres that must report; by default those that ever did"`
-	Timeout     time.Duration `arg:"--timeout" default:"60s" help:"longest time to wait"`
-	JSON        bool          `arg:"--json" help:"print the end result as JSON"`
+	storeFlags
+	nodeFlags
+	Version model.Version `arg:"--version" placeholder:"N" help:"version to follow; by default the one in the store, or the newest that any node has where the store is not named or does not answer"`
+	Nodes   int           `arg:"--nodes" placeholder:"N" help:"number of nodes that must have it; by default all that are known"`
+	Timeout time.Duration `arg:"--timeout" default:"60s" help:"longest time to wait"`
+	JSON    bool          `arg:"--json" help:"print the end result as JSON"`
 }
 
 func (*bundleRollCmd) example() string {
-	return "tarragondrum bundle roll --timeout 30s --settings node.jsonc"
+	return "tarragondrum bundle roll --timeout 30s --node http://127.0.0.1:9464"
 }
 
 // rollReport is the state of a roll-out.
 type rollReport struct {
-	Version  model.Version      `json:"version"`
-	Complete bool               `json:"complete"`
-	Members  int                `json:"members"`
-	Applied  int                `json:"applied"`
-	Progress []rollout.Progress `json:"progress"`
-	// Missing lists data centres that must report and have not.
-	Missing []string `json:"missing"`
+	Version  model.Version       `json:"version"`
+	Complete bool                `json:"complete"`
+	Nodes    int                 `json:"nodes"`
+	Applied  int                 `json:"applied"`
+	Progress []handover.Progress `json:"progress"`
 }
 
 // behindError is a roll-out that did not end in time.
 type behindError struct{ report rollReport }
 
 func (e *behindError) Error() string {
-	return fmt.Sprintf("version %d is on %d of %d nodes", e.report.Version, e.report.Applied, e.report.Members)
+	return fmt.Sprintf("version %d is on %d of %d nodes", e.report.Version, e.report.Applied, e.report.Nodes)
 }
 
+// run asks every node itself, so that the answer does not depend on the store.
 func (c *bundleRollCmd) run(ctx context.Context, env Env) int {
-	return c.with(ctx, env, c.Timeout+askTimeout, func(ctx context.Context, s *session) error {
-		accepted, err := c.accepted(ctx, s.store)
-		if err != nil {
-			return err
-		}
-		version := c.Version
-		if version == 0 {
-			version = accepted
-		}
-		if version == 0 || version > accepted {
-			return usagef("version %d has not been accepted; version %d is in force", version, accepted)
-		}
-		report, err := c.follow(ctx, env, s.store, version)
-		if err != nil {
-			return err
-		}
-		return c.finish(env, report)
-	})
-}
-
-// accepted returns the version in force, from a node if the platform is down.
-func (c *bundleRollCmd) accepted(ctx context.Context, store platform.Store) (model.Version, error) {
-	head, _, err := bundlestore.ReadHead(ctx, store)
-	if errors.Is(err, platform.ErrUnavailable) {
-		known, err := c.handover(ctx, err)
-		return known.InForce.Version, err
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout+askTimeout)
+	defer cancel()
+	client, err := handover.NewClient()
+	if err == nil {
+		err = c.choose(ctx, env)
+	}
+	if err != nil {
+		return env.exit(err)
 	}
-	return head.Acceptance.Version, err
+	report, err := c.follow(ctx, env, client)
+	if err == nil {
+		err = c.finish(env, report)
+	}
+	return env.exit(err)
 }
 
-// progress returns the roll-out and who told of it.
-func (c *bundleRollCmd) progress(ctx context.Context, store platform.Store) (list []rollout.Progress, source string, err error) {
-	list, err = bundlestore.ReadProgress(ctx, store)
-	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
-		known, err := c.handover(ctx, err)
-		return known.Progress, "node " + string(known.Node), err
+// choose fills in the version to follow from the store.
+func (c *bundleRollCmd) choose(ctx context.Context, env Env) error {
+	if c.Store == "" && c.Settings == "" {
+		return nil
+	}
+	s, done, err := c.open()
+	if err != nil {
+		return err
 	}
-	return list, sourcePlatform, err
+	defer done()
+	head, _, err := bundlestore.ReadHead(ctx, s.store)
+	switch {
+	case errors.Is(err, objects.ErrUnavailable):
+		_, _ = fmt.Fprintf(env.Stderr, "the store does not answer; following what the nodes know: %v\n", err)
+		return nil
+	case err != nil:
+		return err
+	case c.Version > head.Acceptance.Version:
+		return usagef("version %d has not been accepted; version %d is in force", c.Version, head.Acceptance.Version)
+	case c.Version == 0:
+		c.Version = head.Acceptance.Version
+	}
+	return nil
 }
 
-// follow reads the roll-out, at least once, until it is complete or the timeout
-// has passed. While neither the platform nor a node can be read it says so and
-// goes on.
-func (c *bundleRollCmd) follow(ctx context.Context, env Env, store platform.Store, version model.Version) (rollReport, error) {
+// follow asks the nodes, at least once, until the roll-out is complete or the
+// timeout has passed. While no node answers it says so and goes on.
+func (c *bundleRollCmd) follow(ctx context.Context, env Env, client *handover.Client) (rollReport, error) {
 	view := newRollView(env, c.JSON)
-	report := rollReport{Version: version}
+	defer view.end()
 	timeout := time.After(c.Timeout)
+	var report rollReport
 	for {
-		progress, source, err := c.progress(ctx, store)
+		answers, err := client.Everyone(ctx, c.Node)
 		switch {
 		case err == nil:
-			view.from(source)
-			report = summarize(version, progress, c.DataCentres)
+			report = c.summarize(answers)
 			view.show(report)
-		case ctx.Err() != nil:
-		case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited):
-			view.say("neither the platform nor a node can be read: " + err.Error())
+		case errors.Is(err, handover.ErrNoAnswer):
+			view.say(err.Error())
 		default:
 			return report, err
 		}
 		if report.Complete {
-			view.end()
 			return report, nil
 		}
 		select {
@@ -121,29 +122,23 @@
 		case <-timeout:
 		case <-ctx.Done():
 		}
-		view.end()
 		return report, nil
 	}
 }
 
-// summarize adds up the data centres. A data centre whose report is of an older
-// version counts with all its nodes behind; one of a newer version has passed it.
-func summarize(version model.Version, progress []rollout.Progress, required []string) rollReport {
-	r := rollReport{Version: version, Progress: progress, Missing: []string{}}
-	reported := make(map[string]bool, len(progress))
-	for _, p := range progress {
-		reported[string(p.DataCentre)] = true
-		r.Members += p.Members
-		if p.Version >= version {
-			r.Applied += p.Applied
+func (c *bundleRollCmd) summarize(answers []handover.Answer) rollReport {
+	version := c.Version
+	if version == 0 {
+		for _, a := range answers {
+			version = max(version, a.Report.Version)
 		}
 	}
-	for _, name := range required {
-		if !reported[name] {
-			r.Missing = append(r.Missing, name)
-		}
+	r := rollReport{Version: version, Progress: handover.Summarize(version, answers)}
+	for _, p := range r.Progress {
+		r.Nodes += p.Nodes
+		r.Applied += p.Applied
 	}
-	r.Complete = r.Members > 0 && r.Applied >= r.Members && len(r.Missing) == 0
+	r.Complete = version > 0 && r.Nodes > 0 && r.Applied >= max(r.Nodes, c.Nodes)
 	return r
 }
 
@@ -156,34 +151,32 @@
 	}
 	if r.Complete {
 		if !c.JSON {
-			env.printf("version %d is in force on all %d nodes\n", r.Version, r.Members)
+			env.printf("version %d is in force on all %d nodes\n", r.Version, r.Nodes)
 		}
 		return nil
 	}
 	if !c.JSON {
-		env.printLaggards(r, time.Now())
+		env.printBehind(r)
 	}
 	return &behindError{report: r}
 }
 
-func (e Env) printLaggards(r rollReport, now time.Time) {
+func (e Env) printBehind(r rollReport) {
 	for _, p := range r.Progress {
-		if p.Version >= r.Version && p.Applied >= p.Members {
+		if len(p.Behind) == 0 {
 			continue
 		}
-		e.printf("%s\n", formatProgress(p, now))
-		for _, l := range p.Laggards {
-			e.printf("  node %s is on version %d: %s\n", l.Node, l.Version, l.Reason)
-		}
-		if more := p.Members - p.Applied - len(p.Laggards); more > 0 && p.Version >= r.Version {
-			e.printf("  and %d more\n", more)
+		e.printf("data centre %s: %d of %d nodes on version %d\n", p.DataCentre, p.Applied, p.Nodes, r.Version)
+		for i, b := range p.Behind {
+			if i == shownBehind {
+				e.printf("  and %d more\n", len(p.Behind)-i)
+				break
+			}
+			e.printf("  node %s is on version %d: %s\n", b.Node, b.Version, b.Reason)
 		}
 	}
-	for _, name := range r.Missing {
-		e.printf("data centre %s has not reported\n", name)
-	}
-	if len(r.Progress) == 0 {
-		e.printf("no data centre has reported\n")
+	if r.Nodes == 0 {
+		e.printf("no node has answered\n")
 	}
 }
 
@@ -194,12 +187,10 @@
 	quiet bool
 	bar   *progressbar.ProgressBar
 	last  string
-	// source is who told of the roll-out last.
-	source string
 }
 
 func newRollView(env Env, quiet bool) *rollView {
-	v := &rollView{env: env, quiet: quiet, source: sourcePlatform}
+	v := &rollView{env: env, quiet: quiet}
 	if f, ok := env.Stdout.(*os.File); ok && !quiet && term.IsTerminal(int(f.Fd())) {
 		v.bar = progressbar.NewOptions(1,
 			progressbar.OptionSetWriter(env.Stdout),
@@ -210,26 +201,13 @@
 	return v
 }
 
-// from says when the roll-out is told by somebody else than before.
-func (v *rollView) from(source string) {
-	if source == v.source {
-		return
-	}
-	v.source = source
-	if source == sourcePlatform {
-		v.say("the platform answers again")
-		return
-	}
-	v.say("the platform does not answer; following what " + source + " knows")
-}
-
 func (v *rollView) show(r rollReport) {
-	if v.bar != nil && r.Members > 0 {
-		v.bar.ChangeMax(r.Members)
+	if v.bar != nil && r.Nodes > 0 {
+		v.bar.ChangeMax(r.Nodes)
 		_ = v.bar.Set(r.Applied)
 		return
 	}
-	v.say(fmt.Sprintf("version %d: %d of %d nodes in %d data centres", r.Version, r.Applied, r.Members, len(r.Progress)))
+	v.say(fmt.Sprintf("version %d: %d of %d nodes in %d data centres", r.Version, r.Applied, r.Nodes, len(r.Progress)))
 }
 
 // say prints a line unless it is the same as the last one.
--- a/pkg/cli/bundleshow.go
+++ b/pkg/cli/bundleshow.go
@@ -8,7 +8,7 @@
 )
 
 type bundleDiffCmd struct {
-	platformFlags
+	storeFlags
 	From string `arg:"positional,required" help:"\"in-force\", a version or an id"`
 	To   string `arg:"positional,required" help:"\"in-force\", a version or an id"`
 	JSON bool   `arg:"--json" help:"print JSON"`
@@ -38,7 +38,7 @@
 }
 
 type bundleShowCmd struct {
-	platformFlags
+	storeFlags
 	Bundle string `arg:"positional,required" help:"\"in-force\", a version or an id"`
 }
 
--- a/pkg/cli/bundlesignoff.go
+++ b/pkg/cli/bundlesignoff.go
@@ -14,7 +14,7 @@
 )
 
 type bundleSignOffCmd struct {
-	platformFlags
+	storeFlags
 	Bundle        string         `arg:"positional,required" help:"id of the bundle or its first characters; \"in-force\" with --again"`
 	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that you saw in force, 0 before the first one; required"`
 	Key           string         `arg:"--key" placeholder:"FILE" help:"your private key; required"`
@@ -41,7 +41,7 @@
 	}
 	return c.with(ctx, env, bundleTimeout, func(ctx context.Context, s *session) error {
 		if s.keyring == nil {
-			_, _ = fmt.Fprintln(env.Stderr, "warning: without --settings it is not checked that the nodes trust this key")
+			_, _ = fmt.Fprintln(env.Stderr, "warning: without --settings that name the operators it is not checked that the nodes trust this key")
 		}
 		a, err := c.signOff(ctx, s, key)
 		if err != nil {
@@ -94,7 +94,7 @@
 }
 
 type bundleWithdrawCmd struct {
-	platformFlags
+	storeFlags
 	Bundle string `arg:"positional,required" help:"id of the bundle, or its first characters"`
 }
 
--- a/pkg/cli/bundlestatus.go
+++ b/pkg/cli/bundlestatus.go
@@ -11,20 +11,19 @@
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
 	"github.com/tarragondrum/tarragondrum/pkg/handover"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/rollout"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
 	"github.com/tarragondrum/tarragondrum/pkg/signoff"
 )
 
-// sourcePlatform marks an answer of the platform itself.
-const sourcePlatform = "platform"
+// sourceStore marks an answer of the store itself.
+const sourceStore = "store"
 
 // operationSearch is the number of versions in which an operation is looked for.
 const operationSearch = 1024
 
 type bundleStatusCmd struct {
-	platformFlags
-	adminFlags
+	storeFlags
+	nodeFlags
 	Operation     string         `arg:"--operation" placeholder:"ID" help:"tell whether this sign-off was accepted"`
 	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that the operation expected, to tell a lost one from one under way"`
 	JSON          bool           `arg:"--json" help:"print JSON"`
@@ -39,12 +38,12 @@
 	Acceptance bundle.Acceptance `json:"acceptance"`
 	// Signature is "good", "bad" with the reason, or "not checked".
 	Signature string `json:"signature"`
-	// Source is "platform", or the node that answered because the platform did not.
+	// Source is "store", or the node that answered because the store did not.
 	Source string `json:"source"`
-	// Confirmed is the time at which the platform last confirmed the answer.
-	Confirmed time.Time           `json:"confirmed"`
-	Waiting   []bundlestore.Entry `json:"waiting"`
-	Progress  []rollout.Progress  `json:"progress"`
+	// Confirmed is the time at which the store last answered.
+	Confirmed time.Time `json:"confirmed"`
+	// Waiting is only known to the store.
+	Waiting []bundlestore.Entry `json:"waiting"`
 }
 
 func (c *bundleStatusCmd) run(ctx context.Context, env Env) int {
@@ -53,7 +52,7 @@
 			return c.reportOperation(ctx, env, s)
 		}
 		report, err := s.status(ctx)
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, objects.ErrUnavailable) {
 			report, err = c.askNode(ctx, s, err)
 		}
 		if err != nil {
@@ -71,60 +70,41 @@
 	if entries == nil && err != nil {
 		return statusReport{}, err
 	}
-	progress, err := bundlestore.ReadProgress(ctx, s.store)
-	if err != nil {
-		return statusReport{}, err
-	}
 	return statusReport{
 		Acceptance: head.Acceptance,
 		Signature:  s.verify(&head.Acceptance),
-		Source:     sourcePlatform,
+		Source:     sourceStore,
 		Confirmed:  time.Now().UTC(),
 		Waiting:    append([]bundlestore.Entry{}, bundlestore.Waiting(entries)...),
-		Progress:   progress,
 	}, nil
 }
 
-// handover asks a node for what it knows after the platform did not answer.
-func (f adminFlags) handover(ctx context.Context, platformErr error) (handover.Report, error) {
-	node, err := f.client()
+// askNode turns what a node knows into a status after the store did not answer.
+func (c *bundleStatusCmd) askNode(ctx context.Context, s *session, storeErr error) (statusReport, error) {
+	client, err := handover.NewClient()
 	if err != nil {
-		return handover.Report{}, errors.Join(platformErr, err)
+		return statusReport{}, errors.Join(storeErr, err)
 	}
-	known, err := node.Handover(ctx)
+	known, err := client.Report(ctx, c.Node)
 	if err != nil {
-		return handover.Report{}, errors.Join(platformErr, err)
+		return statusReport{}, errors.Join(storeErr, err)
 	}
-	return known, nil
-}
-
-// askNode turns what a node knows into a status.
-func (c *bundleStatusCmd) askNode(ctx context.Context, s *session, platformErr error) (statusReport, error) {
-	known, err := c.handover(ctx, platformErr)
-	if err != nil {
-		return statusReport{}, err
+	a := known.Record.Acceptance
+	if a.Version != known.Version {
+		a = bundle.Acceptance{Version: known.Version}
 	}
-	r := statusReport{
-		Acceptance: known.InForce,
-		Signature:  s.verify(&known.InForce),
-		Source:     "node " + string(known.Node),
-		Confirmed:  known.PlatformTime,
+	return statusReport{
+		Acceptance: a,
+		Signature:  s.verify(&a),
+		Source:     "node " + known.Node,
+		Confirmed:  known.StoreTime,
 		Waiting:    []bundlestore.Entry{},
-		Progress:   known.Progress,
-	}
-	for _, w := range known.Waiting {
-		meta := bundlestore.Meta{Preparer: w.Preparer, Time: w.Time, Reason: w.Reason}
-		r.Waiting = append(r.Waiting, bundlestore.Entry{
-			Manifest: bundlestore.Manifest{Bundle: w.Bundle, Meta: meta},
-			State:    bundlestore.StatePrepared,
-		})
-	}
-	return r, nil
+	}, nil
 }
 
 // verify says whether an operator's key signed the acceptance.
 func (s *session) verify(a *bundle.Acceptance) string {
-	if a.Version == 0 || s.keyring == nil {
+	if a.Bundle == "" || s.keyring == nil {
 		return "not checked"
 	}
 	if err := s.keyring.Verify(a); err != nil {
@@ -134,13 +114,16 @@
 }
 
 func (e Env) printStatus(r statusReport, now time.Time) error {
-	if r.Source != sourcePlatform {
-		e.printf("the platform does not answer; this is what %s knows, confirmed %s\n", r.Source, formatConfirmed(r.Confirmed, now))
+	if r.Source != sourceStore {
+		e.printf("the store does not answer; this is what %s knows, confirmed %s; what waits is not known\n", r.Source, formatConfirmed(r.Confirmed, now))
 	}
 	a := r.Acceptance
-	if a.Version == 0 {
+	switch {
+	case a.Version == 0:
 		e.printf("no bundle has been accepted yet\n")
-	} else {
+	case a.Bundle == "":
+		e.printf("version %d is in force; it was written without a sign-off\n", a.Version)
+	default:
 		e.printf("version %d is in force: bundle %.*s\n", a.Version, shortID, a.Bundle)
 		e.printf("  accepted by %s at %s, prepared by %s, signature %s\n", a.Acceptor, a.Time.Format(time.RFC3339), a.Preparer, r.Signature)
 		e.printf("  reason: %s\n", orNone(a.Reason))
@@ -149,9 +132,6 @@
 		e.printf("waiting: bundle %.*s, prepared by %s at %s against version %d, %s\n  reason: %s\n",
 			shortID, w.Bundle, w.Meta.Preparer, w.Meta.Time.Format(time.RFC3339), w.Meta.ParentVersion, w.State, orNone(w.Meta.Reason))
 	}
-	for _, p := range r.Progress {
-		e.printf("%s\n", formatProgress(p, now))
-	}
 	return nil
 }
 
@@ -169,11 +149,6 @@
 	return text
 }
 
-func formatProgress(p rollout.Progress, now time.Time) string {
-	return fmt.Sprintf("data centre %s: %d of %d nodes on version %d, reported %s ago",
-		p.DataCentre, p.Applied, p.Members, p.Version, now.Sub(p.Time).Truncate(time.Second))
-}
-
 // reportOperation tells the truth about one sign-off.
 func (c *bundleStatusCmd) reportOperation(ctx context.Context, env Env, s *session) error {
 	list, err := bundlestore.History(ctx, s.store, operationSearch)
@@ -203,7 +178,7 @@
 }
 
 type bundleHistoryCmd struct {
-	platformFlags
+	storeFlags
 	Limit int  `arg:"--limit" default:"20" help:"largest number of versions"`
 	JSON  bool `arg:"--json" help:"print JSON"`
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -63,18 +63,16 @@
 
 // rootArgs is the whole command line.
 type rootArgs struct {
-	Demo       *demoCmd       `arg:"subcommand:demo" help:"walk through the whole path in one process"`
-	Node       *nodeCmd       `arg:"subcommand:node" help:"run the node of a host"`
-	Host       *hostCmd       `arg:"subcommand:host" help:"run beside an upstream on the users' platform"`
-	Bundle     *bundleCmd     `arg:"subcommand:bundle" help:"prepare, sign off, roll and compare bundles"`
-	Key        *keyCmd        `arg:"subcommand:key" help:"make operators' keys"`
-	Platform   *platformCmd   `arg:"subcommand:platform" help:"run a stand-in for the platform, for trying out"`
-	Settings   *settingsCmd   `arg:"subcommand:settings" help:"check and explain settings files"`
-	Handover   *handoverCmd   `arg:"subcommand:handover" help:"show what is in force, who accepted it and how far it is"`
-	Upstream   *upstreamCmd   `arg:"subcommand:upstream" help:"list and drain the upstreams of a host"`
-	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"list and lift calls that crashed upstreams"`
-	Bench      *benchCmd      `arg:"subcommand:bench" help:"measure the system on its stand-ins"`
-	Version    *versionCmd    `arg:"subcommand:version" help:"print the version of this program"`
+	Demo     *demoCmd     `arg:"subcommand:demo" help:"walk through the whole path in one process"`
+	Node     *nodeCmd     `arg:"subcommand:node" help:"run the node of a host"`
+	Bundle   *bundleCmd   `arg:"subcommand:bundle" help:"prepare, sign off, roll and compare bundles"`
+	Key      *keyCmd      `arg:"subcommand:key" help:"make operators' keys and nodes' certificates"`
+	Platform *platformCmd `arg:"subcommand:platform" help:"run a stand-in of the platform's store, for trying out"`
+	Settings *settingsCmd `arg:"subcommand:settings" help:"check settings files"`
+	Handover *handoverCmd `arg:"subcommand:handover" help:"show what is in force and who accepted it, as any node knows it"`
+	Upstream *upstreamCmd `arg:"subcommand:upstream" help:"list the upstreams, or run a stand-in"`
+	Bench    *benchCmd    `arg:"subcommand:bench" help:"measure the system on its stand-ins"`
+	Version  *versionCmd  `arg:"subcommand:version" help:"print the version of this program"`
 }
 
 // Description is shown at the top of the help.
--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -31,7 +31,6 @@
 		Command:   runCommand,
 		Out:       env.Stdout,
 		LogWriter: logs,
-		LogLevel:  "info",
 		Stay:      c.Stay,
 	})
 	if err != nil {
--- a/pkg/cli/key.go
+++ b/pkg/cli/key.go
@@ -12,8 +12,8 @@
 	"os"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/jsonc"
-	"github.com/tarragondrum/tarragondrum/pkg/settings"
 )
 
 // keyFileMode lets only the owner read a private key.
@@ -75,7 +75,7 @@
 	if _, err := rand.Read(key.Seed); err != nil {
 		return env.fail(ExitFailed, err)
 	}
-	if err := settings.CheckNames(key.Name, key.KeyID); err != nil {
+	if err := bundle.CheckNames(key.Name, key.KeyID); err != nil {
 		return env.exit(&usageError{err: err})
 	}
 	if err := writeKey(c.Out, key); err != nil {
@@ -85,7 +85,7 @@
 		return env.fail(ExitFailed, err)
 	}
 	public := key.private().Public().(ed25519.PublicKey)
-	entry := settings.Operator{Name: key.Name, KeyID: key.KeyID, PublicKey: string(encodeBase64(public))}
+	entry := bundle.Operator{Name: key.Name, KeyID: key.KeyID, PublicKey: string(encodeBase64(public))}
 	raw, err := json.Marshal(entry)
 	if err != nil {
 		return env.fail(ExitFailed, err)
--- a/pkg/cli/keymesh.go
+++ b/pkg/cli/keymesh.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/pki"
 )
 
@@ -17,9 +16,9 @@
 )
 
 type keyMeshCmd struct {
-	Dir   string         `arg:"--dir,required" placeholder:"DIR" help:"folder for the files; an authority that is there already is used again"`
-	Days  int            `arg:"--days" default:"90" help:"days for which the certificates can be used"`
-	Nodes []model.NodeID `arg:"positional,required" placeholder:"NODE" help:"ids of the nodes"`
+	Dir   string   `arg:"--dir,required" placeholder:"DIR" help:"folder for the files; an authority that is there already is used again"`
+	Days  int      `arg:"--days" default:"90" help:"days for which the certificates can be used"`
+	Nodes []string `arg:"positional,required" placeholder:"NODE" help:"ids of the nodes"`
 }
 
 func (*keyMeshCmd) example() string {
--- a/pkg/cli/upstreamserve.go
+++ b/pkg/cli/upstreamserve.go
@@ -2,31 +2,77 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
-	"github.com/tarragondrum/tarragondrum/pkg/bench/upstream"
+	"github.com/tarragondrum/tarragondrum/platform/standin"
+)
+
+const (
+	// beatInterval is the time between two heartbeats of the stand-in.
+	beatInterval = time.Second
+	// leaveTime is how long it serves after its leaving was acknowledged, at least
+	// as long as the platform's upstreams do.
+	leaveTime = 2 * time.Second
 )
 
 type upstreamServeCmd struct {
-	Listen string        `arg:"--listen" default:"127.0.0.1:8001" placeholder:"IP:PORT" help:"address of the stand-in"`
-	Slots  int           `arg:"--slots" default:"9" help:"calls that run at the same time"`
-	Queue  int           `arg:"--queue" default:"130" help:"calls that wait for a slot; further ones are shed"`
-	Median time.Duration `arg:"--median" default:"2ms" help:"median service time"`
+	Name     string        `arg:"--name,required" help:"name of the upstream"`
+	Service  string        `arg:"--service,required" help:"its service"`
+	Listen   string        `arg:"--listen" default:"127.0.0.1:9000" placeholder:"IP:PORT" help:"address of the stand-in"`
+	Announce string        `arg:"--announce,required" placeholder:"IP:PORT" help:"where the node of its host takes heartbeats"`
+	Slots    int           `arg:"--slots" default:"9" help:"requests that it says to run at the same time"`
+	Work     time.Duration `arg:"--work" default:"2ms" help:"time that one request takes"`
 }
 
 func (*upstreamServeCmd) example() string {
-	return "tarragondrum upstream serve --listen 127.0.0.1:8001 --slots 9"
+	return "tarragondrum upstream serve --name up-1 --service order-desk --announce 127.0.0.1:8082"
 }
 
-// run serves until it is interrupted.
+// run serves until it is interrupted and then leaves as planned: it says so, goes
+// on for a while and takes its entry away.
 func (c *upstreamServeCmd) run(ctx context.Context, env Env) int {
-	s, err := upstream.Start(upstream.Options{Address: c.Listen, Slots: c.Slots, Queue: c.Queue, Median: c.Median})
+	u, err := standin.NewUpstream(c.Name, c.Service, c.Listen, c.Slots)
 	if err != nil {
 		return env.fail(ExitFailed, err)
 	}
-	env.printf("stand-in upstream listens on %s\n", s.Addr())
-	<-ctx.Done()
-	s.Stop()
-	env.printf("%d calls ran\n", s.Runs())
+	defer u.Close()
+	u.SetBehaviour(standin.Behaviour{Work: c.Work})
+	env.printf("stand-in upstream %s of service %s listens on %s\n", c.Name, c.Service, u.Address())
+	c.beat(ctx, env, u)
+	if err := u.Beat(c.Announce, standin.StateDraining); err != nil {
+		return env.fail(ExitFailed, fmt.Errorf("leave: %w", err))
+	}
+	time.Sleep(leaveTime)
+	if err := u.Remove(c.Announce); err != nil {
+		return env.fail(ExitFailed, fmt.Errorf("remove: %w", err))
+	}
+	seen, _ := u.Seen()
+	env.printf("%d requests came\n", len(seen))
 	return ExitOK
 }
+
+// beat sends heartbeats until ctx is done, and says when they begin or stop to be
+// acknowledged.
+func (c *upstreamServeCmd) beat(ctx context.Context, env Env, u *standin.Upstream) {
+	known := false
+	for ctx.Err() == nil {
+		err := u.Beat(c.Announce, standin.StateReady)
+		if known != (err == nil) {
+			known = err == nil
+			env.printf("%s of heartbeats: %v\n", http.MethodPut, outcome(err))
+		}
+		select {
+		case <-time.After(beatInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "acknowledged"
+	}
+	return err.Error()
+}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -14,8 +14,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/tarragondrum/tarragondrum/pkg/bench/upstream"
-	"github.com/tarragondrum/tarragondrum/pkg/history"
 	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
 )
 
@@ -25,8 +23,8 @@
 const (
 	// stepTimeout bounds the wait for one step.
 	stepTimeout = 20 * time.Second
-	// upstreamMedian is the median service time of the stand-in upstreams.
-	upstreamMedian = 2 * time.Millisecond
+	// upstreamWork is the time that a request takes at the stand-in upstreams.
+	upstreamWork = 5 * time.Millisecond
 )
 
 // Options say how to run the demo.
@@ -39,7 +37,6 @@
 	// Out takes the story, LogWriter the nodes' logs.
 	Out       io.Writer
 	LogWriter io.Writer
-	LogLevel  string
 	// Stay leaves the last mesh running until ctx is done.
 	Stay bool
 }
@@ -64,8 +61,6 @@
 	story   story
 	dir     string
 	mesh    *localmesh.Mesh
-	caller  *localmesh.Caller
-	history *history.History
 	broken  []string
 	step    int
 }
@@ -77,14 +72,14 @@
 		return fmt.Errorf("make folder: %w", err)
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	t := &teller{options: o, story: s, dir: dir, history: &history.History{}}
+	t := &teller{options: o, story: s, dir: dir}
 	if err := t.prepareFiles(); err != nil {
 		return err
 	}
 	if err := t.startMesh(ctx, block); err != nil {
 		return err
 	}
-	defer func() { err = errors.Join(err, t.mesh.Stop(context.WithoutCancel(ctx))) }()
+	defer t.mesh.Stop()
 	for _, step := range t.steps() {
 		if err := step(ctx); err != nil {
 			return err
@@ -96,7 +91,7 @@
 	return t.verdict()
 }
 
-// prepareFiles writes the example bundle and the operators' keys into the folder.
+// prepareFiles copies the example into the folder.
 func (t *teller) prepareFiles() error {
 	sub, err := fs.Sub(t.options.Examples, t.story.deployment.Name)
 	if err != nil {
@@ -110,43 +105,21 @@
 
 func (t *teller) startMesh(ctx context.Context, block byte) error {
 	d := t.story.deployment
-	t.say("%s: %d data centres, %d hosts", t.story.title, len(d.DataCentres), len(d.Instances()))
+	t.say("%s: %d data centres, %d hosts", t.story.title, len(d.DataCentres), d.Size())
 	operators, err := t.makeKeys(ctx)
 	if err != nil {
 		return err
 	}
-	keys, err := localmesh.NewKeys(t.dir, d)
-	if err != nil {
-		return err
-	}
-	t.mesh, err = localmesh.Start(ctx, localmesh.Options{
-		Deployment: d,
-		Block:      block,
-		Keys:       keys,
-		Operators:  operators,
-		LogWriter:  t.options.LogWriter,
-		LogLevel:   t.options.LogLevel,
-		Upstream:   t.upstream,
+	t.mesh, err = localmesh.Start(localmesh.Options{
+		Deployment: d, Block: block, Dir: t.dir, Operators: operators, Work: upstreamWork,
+		Log: func(*localmesh.Host) io.Writer { return t.options.LogWriter },
 	})
 	if err != nil {
 		return err
 	}
-	t.caller, err = localmesh.NewCaller()
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	return t.mesh.WaitMembers(ctx)
-}
-
-func (t *teller) upstream(i localmesh.Instance) upstream.Options {
-	return upstream.Options{
-		Slots:   i.Service.Slots,
-		Queue:   i.Service.Connections,
-		Median:  upstreamMedian,
-		History: t.history,
-	}
+	return t.mesh.WaitKnown(ctx)
 }
 
 // title opens a numbered step of the story.
@@ -179,10 +152,10 @@
 }
 
 func (t *teller) stay(ctx context.Context) {
-	t.say("\nThe mesh stays up until you interrupt it. Platform %s, namespace %s", t.mesh.Platform.URL(), t.story.deployment.Name)
+	t.say("\nThe mesh stays up until you interrupt it. Store %s", t.mesh.StoreAddress)
 	for _, h := range t.mesh.Hosts {
-		t.say("  %-24s calls %s  admin %s", h.Settings.Node.ID, h.InboundURL(), h.AdminURL())
+		t.say("  %-8s %-14s %-10s requests http://%s  questions %s", h.Name, h.DataCentre, h.Service, h.Outbound(), h.URL())
 	}
-	t.say("Bundle folder and operators' keys: %s", t.dir)
+	t.say("Bundle folder, settings and operators' keys: %s", t.dir)
 	<-ctx.Done()
 }
--- a/pkg/demo/story.go
+++ b/pkg/demo/story.go
@@ -1,6 +1,8 @@
 package demo
 
 import (
+	"net/http"
+
 	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
 )
 
@@ -10,19 +12,21 @@
 	deployment localmesh.Deployment
 	// operators are the pair at the handover; the first one signs off first.
 	operators [2]string
-	// calls has one call for each class that callers may use.
-	calls []namedCall
-	// nested is a call of an upstream to another service.
-	nested namedCall
-	// order is sent several times with the same key.
-	order localmesh.Call
-	// drained is the service of which an instance is drained.
-	drained string
+	// calls has requests of the classes that callers use.
+	calls []namedRequest
+	// order must run at most once; its service has several upstreams.
+	order localmesh.Request
+	// service is the one of which an upstream leaves.
+	service string
+}
+
+type namedRequest struct {
+	name    string
+	request localmesh.Request
 }
 
-type namedCall struct {
-	name string
-	call localmesh.Call
+func get(host, path string) localmesh.Request {
+	return localmesh.Request{Method: http.MethodGet, Host: host, Path: path}
 }
 
 func stories() []story {
@@ -32,27 +36,27 @@
 			title:      "Marcaj Order Desk Mesh, Cluj",
 			deployment: localmesh.Cluj(),
 			operators:  [2]string{"ioana", "mihai"},
-			calls: []namedCall{
-				{"interactive", localmesh.Call{Method: "GET", Host: desk, Path: "/shade-cards/red"}},
-				{"interactive", localmesh.Call{Method: "GET", Host: desk, Path: "/stock/stencils"}},
-				{"batch", localmesh.Call{Method: "GET", Host: desk, Path: "/pigments/ochre"}},
+			calls: []namedRequest{
+				{"interactive", get(desk, "/shade-cards/red")},
+				{"interactive", get(desk, "/stock/stencils")},
+				{"batch", get(desk, "/pigments/ochre")},
+				{"internal", get("labels.marcaj.example", "/labels/4711")},
 			},
-			nested:  namedCall{"internal", localmesh.Call{Method: "GET", Path: "/labels/4711"}},
-			order:   localmesh.Call{Method: "POST", Host: desk, Path: "/orders", Body: "one pallet of red"},
-			drained: "order-desk",
+			order:   localmesh.Request{Method: http.MethodPost, Host: desk, Path: "/orders/1", Body: "one pallet of red"},
+			service: "order-desk",
 		},
 		{
 			title:      "Guild Apron Orders Mesh, Casablanca",
 			deployment: localmesh.Casablanca(),
 			operators:  [2]string{"salma", "youssef"},
-			calls: []namedCall{
-				{"interactive", localmesh.Call{Method: "GET", Host: guild, Path: "/orders/1812"}},
-				{"interactive", localmesh.Call{Method: "GET", Host: guild, Path: "/catalogue/sizes/l"}},
-				{"batch", localmesh.Call{Method: "GET", Host: guild, Path: "/catalogue/leather"}},
+			calls: []namedRequest{
+				{"interactive", get(guild, "/orders/1812")},
+				{"interactive", get(guild, "/catalogue/sizes/l")},
+				{"batch", get(guild, "/catalogue/leather")},
+				{"internal", get("stock.guild.example", "/stock/buckles")},
 			},
-			nested:  namedCall{"internal", localmesh.Call{Method: "GET", Path: "/stock/buckles"}},
-			order:   localmesh.Call{Method: "POST", Host: guild, Path: "/payments", Body: "one apron batch"},
-			drained: "orders",
+			order:   localmesh.Request{Method: http.MethodPost, Host: guild, Path: "/payments/1", Body: "one apron batch"},
+			service: "orders",
 		},
 	}
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -3,9 +3,9 @@
 import "sort"
 
 // maxNumber is the largest event number. Each area of the system has a hundred
-// numbers: 1 process, 2 platform, 3 bundles, 4 membership, 5 roll-out, 6 calls,
-// 7 orders, 8 upstreams and health, 9 security, 10 invariants.
-const maxNumber = 1099
+// numbers: 1 process, 2 store, 4 hosts, 5 configuration, 6 requests, 8 upstreams,
+// 9 security. Numbers of events that are gone are not used again.
+const maxNumber = 999
 
 var catalogue = map[int]Event{}
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -14,7 +14,6 @@
 
 // The severities.
 const (
-	LevelDebug Level = "debug"
 	LevelInfo  Level = "info"
 	LevelWarn  Level = "warn"
 	LevelError Level = "error"
--- a/pkg/event/upstream.go
+++ b/pkg/event/upstream.go
@@ -1,13 +1,10 @@
 package event
 
-// Events of the upstreams of this host.
+// Events of the upstream of this host.
 var (
-	UpstreamAnnounced = register(800, "upstream-announced", LevelInfo, "an upstream of this host was announced", "")
-	UpstreamChanged   = register(801, "upstream-changed", LevelInfo, "an upstream of this host changed its state", "")
-	UpstreamCrashed   = register(802, "upstream-crashed", LevelWarn, "an upstream of this host stopped listening without draining", "Look at the upstream's own log; calls that were running are suspects.")
-	UpstreamBack      = register(803, "upstream-back", LevelInfo, "an upstream that had crashed listens again", "")
-	DrainTimedOut     = register(804, "drain-timed-out", LevelWarn, "calls were still in flight when the drain ended", "Raise drain.timeout or shorten the calls.")
-	ProbeFailing      = register(805, "probe-failing", LevelWarn, "the health probe of an upstream fails", "Look at the upstream; it keeps its calls as long as they succeed.")
-	ProbePassing      = register(806, "probe-passing", LevelInfo, "the health probe of an upstream succeeds again", "")
-	LimitChanged      = register(807, "limit-changed", LevelDebug, "the adaptive concurrency limit of an upstream changed", "")
+	UpstreamBeat    = register(820, "upstream-heartbeat", LevelInfo, "the upstream of this host changed what it says of itself", "")
+	UpstreamBadBeat = register(821, "heartbeat-refused", LevelWarn, "a heartbeat cannot be read or is of another service", "Find its sender.")
+	UpstreamOldBeat = register(822, "heartbeat-late", LevelInfo, "a heartbeat was older than what is known and changed nothing", "")
+	UpstreamDied    = register(823, "upstream-died", LevelWarn, "the upstream of this host does not listen any more; requests that ran are suspects", "Look at the upstream's own log.")
+	RequestPoison   = register(824, "request-quarantined", LevelWarn, "a request crashed several upstreams and is refused from now on", "Find the caller by the fingerprint.")
 )
--- a/pkg/fleet/lead.go
+++ b/pkg/fleet/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,9 +21,16 @@
 	return fmt.Sprintf("%07d %s", maxSize-size, node)
 }
 
-// Cover tells whether another node reads the store for this one. A node that hears of no lead becomes one after a short delay, so that not
-// all of them do at once; of two leads the one with the higher rank yields. Two at
-// once do no harm: both only read.
+// NodeOf returns the name of the node with a rank.
+func NodeOf(rank string) string {
+	_, node, _ := strings.Cut(rank, " ")
+	return node
+}
+
+// Cover tells whether another node reads the store for this one. A node that hears
+// of no lead becomes one after a short delay, so that not all of them do at once;
+// of two leads the one with the higher rank yields. Two at once do no harm: both
+// only read.
 type Cover struct {
 	self string
 	// delay is how long this node waits for another to become a lead.
@@ -32,6 +40,9 @@
 	leads     bool
 	announced map[string]time.Time
 	uncovered time.Time // since when no lead has been announced
+	// lastLead is the rank of the lead that was announced last, at lastHeard.
+	lastLead  string
+	lastHeard time.Time
 }
 
 // NewCover returns the cover of the node with a rank, which hears no lead yet.
@@ -44,6 +55,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.announced[lead] = now
+	c.lastLead, c.lastHeard = lead, now
+}
+
+// Heard returns the rank of the lead that was announced last, and when.
+func (c *Cover) Heard() (lead string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastLead, c.lastHeard
 }
 
 // Leads reports whether this node reads the store from now on.
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -1,184 +1,132 @@
-// Package handover gathers what a pair of operators must see when one shift
-// takes over from the other: which bundle is in force, who accepted it, what
-// waits, how far the roll-out is, and how old each part of the answer is.
+// Package handover says what a pair of operators must see when one shift takes
+// over from the other: which version is in force, who accepted it, whether the
+// store answers, how far a version has come, and how old each part of the answer
+// is. Any node gives the answer, also while the store is away.
 package handover
 
 import (
-	"context"
-	"sync"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
-	"github.com/tarragondrum/tarragondrum/pkg/membership"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/rollout"
 )
 
-// Waiting is a prepared bundle that nobody has signed off.
-type Waiting struct {
-	Bundle   bundle.ID `json:"bundle"`
-	Preparer string    `json:"preparer"`
-	Time     time.Time `json:"time"`
-	Reason   string    `json:"reason"`
+// The paths at which a node answers.
+const (
+	ReportPath = "/handover"
+	HostsPath  = "/hosts"
+)
+
+// Refusal is a configuration that a node did not put in force.
+type Refusal struct {
+	Time time.Time `json:"time"`
+	// Revision is the store's revision of the configuration.
+	Revision uint64 `json:"revision"`
+	// Source is the store or a peer.
+	Source string `json:"source"`
+	Error  string `json:"error"`
 }
 
-// Quarantined is a call that is refused because it crashed upstreams.
-type Quarantined struct {
+// Suspect is a request that is refused because it crashed upstreams.
+type Suspect struct {
 	Fingerprint string    `json:"fingerprint"`
 	Crashes     int       `json:"crashes"`
 	Until       time.Time `json:"until"`
 }
 
-// PlatformReading is what the platform last told this node.
-type PlatformReading struct {
-	Acceptance bundle.Acceptance   `json:"acceptance"`
-	Recent     []bundle.Acceptance `json:"recent"`
-	Waiting    []Waiting           `json:"waiting"`
-	Progress   []rollout.Progress  `json:"progress"`
-}
-
-// Report is the answer to one question about the state of a mesh.
+// Report is what one node knows.
 type Report struct {
-	Node       model.NodeID     `json:"node"`
-	DataCentre model.DataCentre `json:"dataCentre"`
-	Time       time.Time        `json:"time"`
-	// InForce is the newest acceptance that this node knows of; Version 0 means none.
-	InForce bundle.Acceptance `json:"inForce"`
-	// Applied is the version that this node itself serves.
-	Applied model.Version `json:"applied"`
-	// PlatformError says why the platform could not be asked; empty when it answered.
-	PlatformError string `json:"platformError,omitempty"`
-	// PlatformTime is the time of the platform's last answer; zero means never.
-	PlatformTime time.Time           `json:"platformTime"`
-	Recent       []bundle.Acceptance `json:"recent"`
-	Waiting      []Waiting           `json:"waiting"`
-	Progress     []rollout.Progress  `json:"progress"`
-	Refused      *rollout.Refusal    `json:"refused,omitempty"`
-	Quarantined  []Quarantined       `json:"quarantined"`
-	// Members counts the nodes by what this node believes of them.
-	Members map[membership.Status]int `json:"members"`
+	Node       string    `json:"node"`
+	DataCentre string    `json:"dataCentre"`
+	Time       time.Time `json:"time"`
+	// Version is in force on this node since Applied; 0 means none.
+	Version model.Version `json:"version"`
+	Applied time.Time     `json:"applied"`
+	// Record says who accepted the version. It is empty for one that was written to
+	// the store without a sign-off.
+	Record bundle.Head `json:"record"`
+	// Lead reads the store for this node. StoreTime is when it last said that the
+	// store answers; zero means never.
+	Lead      string    `json:"lead"`
+	StoreTime time.Time `json:"storeTime"`
+	// Refused is the last configuration that this node refused.
+	Refused *Refusal `json:"refused,omitempty"`
+	// Hosts counts the hosts that this node knows by the state of their upstreams.
+	Hosts map[string]int `json:"hosts"`
+	// Unreachable lists hosts that this node could not connect to just now.
+	Unreachable []string  `json:"unreachable"`
+	Suspects    []Suspect `json:"suspects"`
 }
 
-// PlatformReader asks the platform for its part of the report.
-type PlatformReader func(ctx context.Context) (PlatformReading, error)
-
-// Sources are the places that a report is gathered from.
-type Sources struct {
-	Node       model.NodeID
-	DataCentre model.DataCentre
-	Rollout    rollout.Source
-	Members    membership.Source
-	// Quarantine lists the refused calls.
-	Quarantine func() []Quarantined
-	Platform   PlatformReader
-	// Progress asks the leads of every data centre; it is used while the platform
-	// does not answer.
-	Progress func(ctx context.Context) []rollout.Progress
-	// PlatformTimeout bounds the question to the platform.
-	PlatformTimeout time.Duration
+// Host is a host as one node knows it.
+type Host struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"dataCentre"`
+	// URL is where the node answers.
+	URL      string `json:"url"`
+	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	// State is that of the upstream, or "stopping" while the node stops.
+	State string `json:"state"`
 }
 
-// Collector gathers reports and remembers the last answer of the platform, so
-// that it can answer during an outage.
-type Collector struct {
-	sources Sources
-
-	mu       sync.Mutex
-	last     PlatformReading
-	lastTime time.Time
+// Behind is a node that has not put a version in force.
+type Behind struct {
+	Node    string        `json:"node"`
+	Version model.Version `json:"version"`
+	Reason  string        `json:"reason"`
 }
 
-// NewCollector returns a collector over the given sources.
-func NewCollector(s Sources) *Collector { return &Collector{sources: s} }
-
-// Report gathers a report. It does not fail: what cannot be learned now is
-// answered from the last known state, with its age.
-func (c *Collector) Report(ctx context.Context) Report {
-	reading, readAt, platformErr := c.read(ctx)
-	status := c.sources.Rollout.Status()
-	progress := mergeProgress(reading.Progress, status.Progress)
-	if platformErr != nil {
-		progress = mergeProgress(progress, c.sources.Progress(ctx))
-	}
-	r := Report{
-		Node:         c.sources.Node,
-		DataCentre:   c.sources.DataCentre,
-		Time:         time.Now().UTC(),
-		InForce:      newest(status.Acceptance, reading.Acceptance),
-		Applied:      c.sources.Rollout.Applied(),
-		PlatformTime: readAt,
-		Recent:       newerList(reading.Recent, status.History),
-		Waiting:      reading.Waiting,
-		Progress:     progress,
-		Refused:      status.Refused,
-		Quarantined:  c.sources.Quarantine(),
-		Members:      countMembers(c.sources.Members.View()),
-	}
-	if platformErr != nil {
-		r.PlatformError = platformErr.Error()
-	}
-	if status.Confirmed.After(r.PlatformTime) {
-		r.PlatformTime = status.Confirmed
-	}
-	return r
+// Progress is how far a version has come in a data centre.
+type Progress struct {
+	DataCentre string   `json:"dataCentre"`
+	Nodes      int      `json:"nodes"`
+	Applied    int      `json:"applied"`
+	Behind     []Behind `json:"behind"`
 }
 
-func (c *Collector) read(ctx context.Context) (PlatformReading, time.Time, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.sources.PlatformTimeout)
-	defer cancel()
-	reading, err := c.sources.Platform(ctx)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err == nil {
-		c.last = reading
-		c.lastTime = time.Now().UTC()
-	}
-	return c.last, c.lastTime, err
-}
-
-func newest(a, b bundle.Acceptance) bundle.Acceptance {
-	if b.Version > a.Version {
-		return b
-	}
-	return a
-}
-
-// newerList returns the list whose first entry is the newer version.
-func newerList(a, b []bundle.Acceptance) []bundle.Acceptance {
-	if len(a) == 0 {
-		return b
-	}
-	if len(b) > 0 && b[0].Version > a[0].Version {
-		return b
-	}
-	return a
+// Answer is what one host answered, or why it did not.
+type Answer struct {
+	Host   Host
+	Report Report
+	Err    error
 }
 
-// mergeProgress keeps the newer entry of each data centre, in the order of a
-// and then of b.
-func mergeProgress(a, b []rollout.Progress) []rollout.Progress {
-	merged := append([]rollout.Progress(nil), a...)
-	index := make(map[model.DataCentre]int, len(merged))
-	for i, p := range merged {
-		index[p.DataCentre] = i
-	}
-	for _, p := range b {
-		i, ok := index[p.DataCentre]
-		if !ok {
-			merged = append(merged, p)
-			continue
+// Summarize counts the nodes that have a version or a newer one in force, by data
+// centre.
+func Summarize(v model.Version, answers []Answer) []Progress {
+	byName := make(map[string]*Progress)
+	for _, a := range answers {
+		p := byName[a.Host.DataCentre]
+		if p == nil {
+			p = &Progress{DataCentre: a.Host.DataCentre, Behind: []Behind{}}
+			byName[p.DataCentre] = p
 		}
-		if p.Time.After(merged[i].Time) {
-			merged[i] = p
+		p.Nodes++
+		switch {
+		case a.Err != nil:
+			p.Behind = append(p.Behind, Behind{Node: a.Host.Node, Reason: a.Err.Error()})
+		case a.Report.Version >= v:
+			p.Applied++
+		default:
+			p.Behind = append(p.Behind, Behind{Node: a.Host.Node, Version: a.Report.Version, Reason: reason(a.Report.Refused)})
 		}
 	}
-	return merged
+	list := make([]Progress, 0, len(byName))
+	for _, p := range byName {
+		slices.SortFunc(p.Behind, func(x, y Behind) int { return cmp.Compare(x.Node, y.Node) })
+		list = append(list, *p)
+	}
+	slices.SortFunc(list, func(x, y Progress) int { return cmp.Compare(x.DataCentre, y.DataCentre) })
+	return list
 }
 
-func countMembers(v *membership.View) map[membership.Status]int {
-	counts := make(map[membership.Status]int)
-	for _, m := range v.Members {
-		counts[m.Status]++
+func reason(r *Refusal) string {
+	if r == nil {
+		return "it has not come yet"
 	}
-	return counts
+	return "refused: " + r.Error
 }
