--- a/pkg/host/cluster_test.go
+++ b/pkg/host/cluster_test.go
@@ -8,15 +8,13 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/tarragondrum/tarragondrum/pkg/host"
+	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
 	"github.com/tarragondrum/tarragondrum/platform"
 	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
@@ -26,27 +24,18 @@
 
 // cluster is a mesh of real nodes on stand-ins.
 type cluster struct {
-	t       *testing.T
-	network int32
-	store   *standin.Store
-	hosts   []*member
+	t     *testing.T
+	mesh  *localmesh.Mesh
+	store *standin.Store
+	hosts []*member
 }
 
-// member is one host of the mesh.
+// member is one host of the mesh with its log.
 type member struct {
-	node     *host.Node
-	upstream *standin.Upstream
-	settings string
-	ip       string
-	store    string
-	log      *syncBuffer
-	beating  context.CancelFunc
+	*localmesh.Host
+	log *syncBuffer
 }
 
-func (m *member) outbound() string { return m.ip + ":8081" }
-func (m *member) control() string  { return m.ip + ":8082" }
-func (m *member) ready() string    { return m.ip + ":8083" }
-
 type syncBuffer struct {
 	mu   sync.Mutex
 	text strings.Builder
@@ -64,22 +53,20 @@
 	return b.text.String()
 }
 
-const slots = 4
+const (
+	slots = 4
+	// firstBlock is the second number of the addresses of the first cluster.
+	firstBlock = 140
+)
 
 // newCluster starts hosts of the services "desk" and "ledger" by turns in two
 // data centres, and puts version 2 in force.
 func newCluster(t *testing.T, count int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: networks.Add(1), store: standin.NewStore()}
-	t.Cleanup(c.store.Close)
-	c.putConfig(2, "desk")
-	for i := range count {
-		c.add(i)
-	}
-	for _, m := range c.hosts {
-		c.eventually("ready "+m.ip, func() bool { return c.status("http://"+m.ready()+platform.ReadyPath) == http.StatusOK })
-	}
-	c.eventually("all hosts known", func() bool {
+	c := startCluster(t, count, localmesh.Options{}, func(c *cluster) { c.putConfig(2, "desk") })
+	c.await((*localmesh.Mesh).WaitReady)
+	c.await((*localmesh.Mesh).WaitKnown)
+	c.eventually("requests reach both services", func() bool {
 		for _, m := range c.hosts {
 			for _, path := range []string{"/desk/x", "/ledger/x"} {
 				if count > 1 && c.get(m, path, "warm").status != http.StatusOK {
@@ -92,44 +79,42 @@
 	return c
 }
 
-func (c *cluster) add(i int) *member {
-	c.t.Helper()
-	service := []string{"desk", "ledger"}[i%2]
-	m := &member{ip: fmt.Sprintf("127.91.%d.%d", c.network, i+1), log: &syncBuffer{}}
-	var err error
-	if m.store, err = c.store.Listen(fmt.Sprintf("%s:7000", m.ip)); err != nil {
-		c.t.Fatal(err)
-	}
-	if m.upstream, err = standin.NewUpstream(fmt.Sprintf("up-%d", i), service, m.ip+":9000", slots); err != nil {
-		c.t.Fatal(err)
+// startCluster starts the hosts after something was written to the store.
+func startCluster(t *testing.T, count int, o localmesh.Options, write func(c *cluster)) *cluster {
+	t.Helper()
+	o.Block = byte(firstBlock + networks.Add(1))
+	o.Dir = t.TempDir()
+	o.Deployment = localmesh.Deployment{DataCentres: []string{"dc-0", "dc-1"}}
+	logs := make(map[*localmesh.Host]*syncBuffer)
+	o.Log = func(h *localmesh.Host) io.Writer {
+		logs[h] = &syncBuffer{}
+		return logs[h]
+	}
+	mesh, err := localmesh.Start(o)
+	if err != nil {
+		t.Fatal(err)
 	}
-	c.t.Cleanup(m.upstream.Close)
-	m.settings = filepath.Join(c.t.TempDir(), "host.jsonc")
-	c.writeSettings(m, i, service, 6)
-	c.hosts = append(c.hosts, m)
-	c.start(m)
-	var beating context.Context
-	beating, m.beating = context.WithCancel(context.Background())
-	c.t.Cleanup(m.beating)
-	go func() {
-		for beating.Err() == nil {
-			_ = m.upstream.Beat(m.control(), "ready")
-			time.Sleep(200 * time.Millisecond)
+	t.Cleanup(mesh.Stop)
+	c := &cluster{t: t, mesh: mesh, store: mesh.Store}
+	write(c)
+	for i := range count {
+		h, err := mesh.Add(localmesh.Service{Name: []string{"desk", "ledger"}[i%2], Slots: slots})
+		if err != nil {
+			t.Fatal(err)
 		}
-	}()
-	return m
+		m := &member{Host: h, log: logs[h]}
+		c.hosts = append(c.hosts, m)
+		c.start(m)
+	}
+	return c
 }
 
-func (c *cluster) writeSettings(m *member, i int, service string, grace int) {
+// await waits for a state of the mesh.
+func (c *cluster) await(state func(*localmesh.Mesh, context.Context) error) {
 	c.t.Helper()
-	text := fmt.Sprintf(`{
-  "node": {"id": "host-%d", "dataCentre": "dc-%d", "region": "r", "ip": %q, "memoryMB": 128, "cpuShare": 0.32, "linkMbps": 1000},
-  "upstream": {"address": "%s:9000", "service": %q},
-  "listen": {"outbound": %q, "ready": %q, "announce": %q, "peerPort": 7100, "metricsPort": 9464},
-  "store": {"address": %q},
-  "bounds": {"graceS": %d, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64}, // as in the example
-}`, i, i%2, m.ip, m.ip, service, m.outbound(), m.ready(), m.control(), m.store, grace)
-	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := state(c.mesh, ctx); err != nil {
 		c.t.Fatal(err)
 	}
 }
@@ -137,15 +122,9 @@
 // start starts the node of a host.
 func (c *cluster) start(m *member) {
 	c.t.Helper()
-	n, err := host.New(m.settings, m.log)
-	if err != nil {
+	if err := m.Start(); err != nil {
 		c.t.Fatal(err)
 	}
-	if err := n.Start(); err != nil {
-		c.t.Fatal(err)
-	}
-	m.node = n
-	c.t.Cleanup(n.Kill)
 }
 
 // putConfig writes a configuration whose first route goes to the given service.
@@ -173,24 +152,16 @@
 	c.store.Put("config", "main", spec)
 }
 
-func (c *cluster) eventually(what string, ok func() bool) {
-	c.t.Helper()
-	end := time.Now().Add(10 * time.Second)
-	for !ok() {
-		if time.Now().After(end) {
-			c.t.Fatalf("not within 10 s: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
+// patience is how long a test waits for a state.
+const patience = 10 * time.Second
 
-func (c *cluster) status(url string) int {
-	r, err := http.Get(url)
-	if err != nil {
-		return 0
+func (c *cluster) eventually(what string, isTrue func() bool) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := localmesh.Wait(ctx, what, isTrue); err != nil {
+		c.t.Fatal(err)
 	}
-	defer func() { _ = r.Body.Close() }()
-	return r.StatusCode
 }
 
 // reply is the end of a request as its caller sees it.
@@ -211,30 +182,15 @@
 }
 
 func (c *cluster) request(ctx context.Context, m *member, method, path, id, body string) reply {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.outbound()+path, strings.NewReader(body))
-	if err != nil {
-		return reply{err: err}
-	}
-	r.Host = "a.example"
-	r.Header.Set(platform.HeaderRequestID, id)
-	r.Header.Set(platform.HeaderDeadline, "1200")
-	r.Header.Set(platform.HeaderCaller, "forged")
-	r.Close = true
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = a.Body.Close() }()
-	text, err := io.ReadAll(a.Body)
-	return reply{status: a.StatusCode, body: string(text), signature: a.Header.Get(platform.HeaderSignature),
-		retryAfter: a.Header.Get("Retry-After"), err: err}
+	a := m.Call(ctx, localmesh.Request{Method: method, Host: "a.example", Path: path, Body: body, ID: id, Deadline: 1200 * time.Millisecond})
+	return reply{status: a.Status, body: a.Body, signature: a.Signature, retryAfter: a.RetryAfter, err: a.Err}
 }
 
 // seen returns what the upstreams saw of a request.
 func (c *cluster) seen(id string) []standin.Seen {
 	var all []standin.Seen
 	for _, m := range c.hosts {
-		seen, _ := m.upstream.Seen()
+		seen, _ := m.Upstream.Seen()
 		for _, s := range seen {
 			if s.ID == id {
 				all = append(all, s)
@@ -245,21 +201,13 @@
 }
 
 // ran counts the runs of a request.
-func (c *cluster) ran(id string) int {
-	n := 0
-	for _, s := range c.seen(id) {
-		if s.Ran {
-			n++
-		}
-	}
-	return n
-}
+func (c *cluster) ran(id string) int { return c.mesh.Runs(id) }
 
 // pipeline sends GET requests on one connection at once and returns the ids of
 // the answers in their order.
 func (c *cluster) pipeline(m *member, paths []string) []string {
 	c.t.Helper()
-	conn, err := net.Dial("tcp", m.outbound())
+	conn, err := net.Dial("tcp", m.Outbound())
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/pkg/host/config_test.go
+++ b/pkg/host/config_test.go
@@ -18,16 +18,16 @@
 		"calm":         func(*cluster) {},
 		"deaf watches": func(c *cluster) { c.store.SetDeaf(true) },
 		"the store turns a lead away": func(c *cluster) {
-			c.store.SetFaults(c.hosts[0].store, standin.Faults{Status: http.StatusServiceUnavailable})
+			c.store.SetFaults(c.hosts[0].StoreAddress, standin.Faults{Status: http.StatusServiceUnavailable})
 		},
 		"the store is silent to most": func(c *cluster) {
 			for _, m := range c.hosts[:3] {
-				c.store.SetFaults(m.store, standin.Faults{Silent: true})
+				c.store.SetFaults(m.StoreAddress, standin.Faults{Silent: true})
 			}
 		},
 		"the store resets connections of a data centre": func(c *cluster) {
-			c.store.SetFaults(c.hosts[0].store, standin.Faults{Reset: true})
-			c.store.SetFaults(c.hosts[2].store, standin.Faults{Reset: true})
+			c.store.SetFaults(c.hosts[0].StoreAddress, standin.Faults{Reset: true})
+			c.store.SetFaults(c.hosts[2].StoreAddress, standin.Faults{Reset: true})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -45,9 +45,9 @@
 // in version 3.
 func (c *cluster) eventuallyLedger(m *member) {
 	c.t.Helper()
-	c.eventually("version 3 on "+m.ip, func() bool {
-		c.get(m, "/desk/x", "probe-"+m.ip)
-		for _, s := range c.seen("probe-" + m.ip) {
+	c.eventually("version 3 on "+m.IP, func() bool {
+		c.get(m, "/desk/x", "probe-"+m.IP)
+		for _, s := range c.seen("probe-" + m.IP) {
 			if strings.HasPrefix(s.Path, "/desk/") && c.isLedger(s) {
 				return true
 			}
@@ -68,9 +68,9 @@
 // isLedger reports whether an upstream of the ledger saw the request.
 func (c *cluster) isLedger(s standin.Seen) bool {
 	for _, m := range c.hosts {
-		seen, _ := m.upstream.Seen()
+		seen, _ := m.Upstream.Seen()
 		for _, other := range seen {
-			if other == s && m.upstream.Service == "ledger" {
+			if other == s && m.Upstream.Service == "ledger" {
 				return true
 			}
 		}
@@ -89,7 +89,7 @@
 	c.putConfig(1, "ledger")
 	time.Sleep(time.Second)
 	is.Equal(c.get(c.hosts[0], "/desk/x", "kept").status, http.StatusOK)
-	seen, _ := c.hosts[0].upstream.Seen()
+	seen, _ := c.hosts[0].Upstream.Seen()
 	is.Equal(seen[len(seen)-1].ID, "kept")
 }
 
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -60,6 +60,8 @@
 	mu sync.Mutex
 	// reached is when the store last answered, zero while this node is covered.
 	reached time.Time
+	// answered is when the store last answered this node, whether or not it leads.
+	answered time.Time
 	// reading is set while this node reads the store.
 	reading bool
 	// revision is the one to watch the configuration from, readRevision the one at
@@ -168,7 +170,7 @@
 
 // announce tells the nodes that this one covers that it reads the store.
 func (l *lead) announce() {
-	l.node.peers.broadcastCovered(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.version()})
+	l.node.peers.broadcastCovered(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version()})
 }
 
 // outcome notes how a call to the store ended.
@@ -182,6 +184,7 @@
 	l.reached = time.Time{}
 	if err == nil {
 		l.reached = time.Now()
+		l.answered = l.reached
 	}
 	l.mu.Unlock()
 	switch {
--- /dev/null
+++ b/pkg/host/handover.go
@@ -0,0 +1,115 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/handover"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+)
+
+// stateStopping stands for the state of the upstream while its node stops, and
+// stateNone for that of a host without one.
+const (
+	stateStopping = "stopping"
+	stateNone     = "without upstream"
+)
+
+// serveHandover adds the questions of operators to a server.
+func (n *Node) serveHandover(h *server.Hertz) {
+	h.GET(handover.ReportPath, func(_ context.Context, rc *app.RequestContext) { rc.JSON(http.StatusOK, n.Handover()) })
+	h.GET(handover.HostsPath, func(_ context.Context, rc *app.RequestContext) { rc.JSON(http.StatusOK, n.hosts()) })
+}
+
+// Handover returns what this node knows.
+func (n *Node) Handover() handover.Report {
+	now := time.Now()
+	s := n.settings.Load()
+	r := handover.Report{
+		Node: s.Node.ID, DataCentre: s.Node.DataCentre, Time: now.UTC(),
+		Hosts: make(map[string]int), Unreachable: n.peers.unreachable(), Suspects: []handover.Suspect{},
+	}
+	if c := n.config.Current(); c != nil {
+		r.Version = model.Version(c.Version)
+		if at := n.appliedAt.Load(); at != nil {
+			r.Applied = at.UTC()
+		}
+		if len(c.Record) > 0 {
+			// What is in force was decoded before; a record of other tools is left out.
+			r.Record, _ = bundle.DecodeHead(c.Record)
+		}
+	}
+	r.Lead, r.StoreTime = n.lead.heard()
+	r.Refused = n.refused.Load()
+	for _, h := range n.table.All() {
+		r.Hosts[stateOf(&h)]++
+	}
+	for _, f := range n.suspects.Refusals(now) {
+		r.Suspects = append(r.Suspects, handover.Suspect{Fingerprint: fmt.Sprintf("%016x", f.Fingerprint), Crashes: f.Crashes, Until: f.Until.UTC()})
+	}
+	return r
+}
+
+// hosts returns the hosts that this node knows. Ports are the same on all hosts.
+func (n *Node) hosts() []handover.Host {
+	port := strconv.Itoa(n.settings.Load().Listen.MetricsPort)
+	list := []handover.Host{}
+	for _, h := range n.table.All() {
+		ip, _, err := net.SplitHostPort(h.PeerAddress)
+		if err != nil {
+			ip = h.PeerAddress
+		}
+		list = append(list, handover.Host{
+			Node: h.Node, DataCentre: h.DataCentre, URL: "http://" + net.JoinHostPort(ip, port),
+			Upstream: h.Upstream.ID, Service: h.Upstream.Service, Slots: h.Upstream.Slots, State: stateOf(&h),
+		})
+	}
+	return list
+}
+
+func stateOf(h *fleet.Host) string {
+	switch {
+	case h.Stopping:
+		return stateStopping
+	case h.Upstream.State == fleet.StateNone:
+		return stateNone
+	}
+	return string(h.Upstream.State)
+}
+
+// heard returns the node that last said that the store answers, and when: a lead,
+// or this one.
+func (l *lead) heard() (node string, at time.Time) {
+	l.mu.Lock()
+	answered := l.answered
+	l.mu.Unlock()
+	rank, at := l.cover.Heard()
+	if answered.After(at) {
+		return l.node.settings.Load().Node.ID, answered.UTC()
+	}
+	return fleet.NodeOf(rank), at.UTC()
+}
+
+// unreachable lists the nodes that could not be connected to just now.
+func (p *peers) unreachable() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []string{}
+	for node, peer := range p.peers {
+		if open, failed := peer.Connected(); !open && failed {
+			list = append(list, node)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -14,16 +14,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/dispatch"
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
+	"github.com/tarragondrum/tarragondrum/pkg/handover"
 	"github.com/tarragondrum/tarragondrum/pkg/hostconf"
 	"github.com/tarragondrum/tarragondrum/pkg/intake"
 	"github.com/tarragondrum/tarragondrum/pkg/kernel"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
 	"github.com/tarragondrum/tarragondrum/pkg/metric"
+	"github.com/tarragondrum/tarragondrum/pkg/pki"
 	"github.com/tarragondrum/tarragondrum/pkg/suspect"
 	"github.com/tarragondrum/tarragondrum/platform"
 )
@@ -67,6 +70,15 @@
 	stopping  atomic.Bool
 	listening atomic.Bool
 
+	// credentials seal the connections between nodes; nil leaves them plain.
+	credentials *pki.Credentials
+	// keyring holds the operators' keys; nil trusts the store.
+	keyring atomic.Pointer[bundle.Keyring]
+	// appliedAt is when the configuration in force was put in force, and refused the
+	// last one that was not.
+	appliedAt atomic.Pointer[time.Time]
+	refused   atomic.Pointer[handover.Refusal]
+
 	reloading sync.Mutex
 	mu        sync.Mutex
 	// revisions are those of the store's entries of other hosts.
@@ -94,8 +106,16 @@
 	n.started = time.Now()
 	n.process = rand.Int64()
 	n.settings.Store(s)
+	n.keyring.Store(s.Keyring())
 	n.log = event.New(n.output, event.LevelInfo, s.Node.ID)
 	n.observer = newObserver(n.registry, n.log)
+	if s.Peers.Sealed() {
+		files := pki.Files{Cert: s.Peers.CertFile, Key: s.Peers.KeyFile, CA: s.Peers.CAFile}
+		n.credentials, err = pki.Load(files, func(err error) { n.log.Emit(event.CredentialsKept, event.F("error", err)) })
+		if err != nil {
+			return nil, fmt.Errorf("host: %w", err)
+		}
+	}
 	n.storePtr.Store(platform.NewStore(s.Store.Address, n.observer.storeCall))
 	n.record = newRecord(n)
 	n.peers = newPeers(n)
@@ -198,8 +218,8 @@
 	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// version returns the version in force, or 0.
-func (n *Node) version() uint64 {
+// Version returns the version in force, or 0.
+func (n *Node) Version() uint64 {
 	if s := n.config.Current(); s != nil {
 		return s.Version
 	}
@@ -213,20 +233,32 @@
 		return false
 	}
 	s, err := platform.DecodeConfig(raw, revision)
+	if ring := n.keyring.Load(); err == nil && ring != nil {
+		err = ring.VerifyConfig(&s.Config, s.Record)
+	}
 	if err != nil {
-		n.log.Emit(event.ConfigRefused, event.F("revision", revision), event.F("source", source), event.F("error", err))
+		n.refuseConfig(revision, source, err)
 		return false
 	}
-	before := n.version()
+	before := n.Version()
 	if !n.config.Publish(s) {
 		return false
 	}
+	now := time.Now()
+	n.appliedAt.Store(&now)
+	n.refused.Store(nil)
 	n.log.Emit(event.ConfigApplied, event.F("version", s.Version), event.F("before", before), event.F("revision", revision),
 		event.F("routes", len(s.Routes)), event.F("source", source))
 	n.peers.broadcast(&link.News{ConfigVersion: s.Version})
 	return true
 }
 
+// refuseConfig notes that a configuration is not put in force.
+func (n *Node) refuseConfig(revision uint64, source string, err error) {
+	n.refused.Store(&handover.Refusal{Time: time.Now().UTC(), Revision: revision, Source: source, Error: err.Error()})
+	n.log.Emit(event.ConfigRefused, event.F("revision", revision), event.F("source", source), event.F("error", err))
+}
+
 // ready reports whether callers may be sent here.
 func (n *Node) ready() bool {
 	return n.listening.Load() && !n.stopping.Load() && n.config.Current() != nil
--- a/pkg/host/host_test.go
+++ b/pkg/host/host_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/tarragondrum/tarragondrum/platform"
 	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
 
@@ -44,12 +43,12 @@
 func TestPipelinedRequestsRunAtOnce(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 2)
-	c.hosts[0].upstream.SetBehaviour(standin.Behaviour{Work: 300 * time.Millisecond})
+	c.hosts[0].Upstream.SetBehaviour(standin.Behaviour{Work: 300 * time.Millisecond})
 	start := time.Now()
 	ids := c.pipeline(c.hosts[1], []string{"/desk/1", "/ledger/2", "/desk/3", "/desk/4"})
 	is.Equal(ids, []string{"p-0", "p-1", "p-2", "p-3"})
 	is.True(time.Since(start) < 900*time.Millisecond) // one after another takes 900 ms
-	_, most := c.hosts[0].upstream.Seen()
+	_, most := c.hosts[0].Upstream.Seen()
 	is.Equal(most, 3)
 }
 
@@ -71,7 +70,7 @@
 			is := is.New(t)
 			c := newCluster(t, 4)
 			for _, m := range c.hosts {
-				m.upstream.SetBehaviour(tt.does)
+				m.Upstream.SetBehaviour(tt.does)
 			}
 			r := c.order(c.hosts[3], "order")
 			is.NoErr(r.err)
@@ -87,7 +86,7 @@
 func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 4)
-	c.hosts[0].upstream.SetBehaviour(standin.Behaviour{Truncate: true})
+	c.hosts[0].Upstream.SetBehaviour(standin.Behaviour{Truncate: true})
 	for i := range 10 {
 		id := fmt.Sprintf("again-%d", i)
 		r := c.get(c.hosts[2], "/desk/x", id)
@@ -101,8 +100,8 @@
 func TestFailureOfAnUpstreamIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 4)
-	c.hosts[0].upstream.SetBehaviour(standin.Behaviour{Status: http.StatusInternalServerError})
-	c.hosts[2].upstream.SetBehaviour(standin.Behaviour{ShedAll: true})
+	c.hosts[0].Upstream.SetBehaviour(standin.Behaviour{Status: http.StatusInternalServerError})
+	c.hosts[2].Upstream.SetBehaviour(standin.Behaviour{ShedAll: true})
 	for i := range 10 {
 		id := fmt.Sprintf("failed-%d", i)
 		r := c.get(c.hosts[i%4], "/desk/x", id)
@@ -120,10 +119,10 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	m := c.hosts[0]
-	m.beating()
-	is.NoErr(m.upstream.Beat(m.control(), "draining"))
+	m.StopBeating()
+	is.NoErr(m.Upstream.Beat(m.Announce(), "draining"))
 	acknowledged := time.Now()
-	is.NoErr(m.upstream.BeatAs(m.control(), "ready", 1))
+	is.NoErr(m.Upstream.BeatAs(m.Announce(), "ready", 1))
 	var calls sync.WaitGroup
 	for i := range 40 {
 		calls.Add(1)
@@ -135,7 +134,7 @@
 		}()
 	}
 	calls.Wait()
-	seen, _ := m.upstream.Seen()
+	seen, _ := m.Upstream.Seen()
 	for _, s := range seen {
 		is.True(!s.At.After(acknowledged))
 	}
@@ -150,17 +149,17 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	m := c.hosts[0]
-	m.beating()
-	is.NoErr(m.upstream.Beat(m.control(), "draining"))
-	m.node.Kill()
+	m.StopBeating()
+	is.NoErr(m.Upstream.Beat(m.Announce(), "draining"))
+	m.Kill()
 	c.start(m)
-	is.NoErr(m.upstream.BeatAs(m.control(), "ready", 1))
-	c.eventually("ready again", func() bool { return c.status("http://"+m.ready()+platform.ReadyPath) == http.StatusOK })
-	before, _ := m.upstream.Seen()
+	is.NoErr(m.Upstream.BeatAs(m.Announce(), "ready", 1))
+	c.eventually("ready again", func() bool { return m.IsReady(t.Context()) })
+	before, _ := m.Upstream.Seen()
 	for i := range 20 {
 		is.Equal(c.get(c.hosts[i%4], "/desk/x", fmt.Sprintf("back-%d", i)).status, http.StatusOK)
 	}
-	after, _ := m.upstream.Seen()
+	after, _ := m.Upstream.Seen()
 	is.Equal(len(after), len(before))
 }
 
@@ -170,22 +169,22 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	m := c.hosts[0]
-	m.beating()
-	c.store.SetFaults(m.store, standin.Faults{Status: http.StatusServiceUnavailable})
-	is.NoErr(m.upstream.Remove(m.control())) // no heartbeat follows
-	m.node.Kill()
-	c.store.SetFaults(m.store, standin.Faults{})
+	m.StopBeating()
+	c.store.SetFaults(m.StoreAddress, standin.Faults{Status: http.StatusServiceUnavailable})
+	is.NoErr(m.Upstream.Remove(m.Announce())) // no heartbeat follows
+	m.Kill()
+	c.store.SetFaults(m.StoreAddress, standin.Faults{})
 	c.start(m)
 	c.eventually("the former record", func() bool { return strings.Contains(m.log.String(), `"former-record-found"`) })
 	c.eventually("gone in the store", func() bool {
 		entry, _ := c.store.Get("tarragondrum-hosts", "host-0")
 		return strings.Contains(string(entry), `"gone"`)
 	})
-	before, _ := m.upstream.Seen()
+	before, _ := m.Upstream.Seen()
 	for i := range 20 {
 		is.Equal(c.get(c.hosts[i%4], "/desk/x", fmt.Sprintf("gone-%d", i)).status, http.StatusOK)
 	}
-	after, _ := m.upstream.Seen()
+	after, _ := m.Upstream.Seen()
 	is.Equal(len(after), len(before))
 }
 
@@ -195,12 +194,12 @@
 	is := is.New(t)
 	c := newCluster(t, 1)
 	m := c.hosts[0]
-	m.beating()
-	c.store.SetFaults(m.store, standin.Faults{Status: http.StatusServiceUnavailable})
-	is.True(m.upstream.Beat(m.control(), "draining") != nil)
+	m.StopBeating()
+	c.store.SetFaults(m.StoreAddress, standin.Faults{Status: http.StatusServiceUnavailable})
+	is.True(m.Upstream.Beat(m.Announce(), "draining") != nil)
 	is.Equal(c.get(m, "/desk/x", "alone").status, http.StatusServiceUnavailable)
-	c.store.SetFaults(m.store, standin.Faults{})
-	c.eventually("acknowledged", func() bool { return m.upstream.Beat(m.control(), "draining") == nil })
+	c.store.SetFaults(m.StoreAddress, standin.Faults{})
+	c.eventually("acknowledged", func() bool { return m.Upstream.Beat(m.Announce(), "draining") == nil })
 }
 
 // A node that starts while the store is away answers 503 until a peer has told
@@ -209,8 +208,8 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	m := c.hosts[3]
-	m.node.Kill()
-	c.store.SetFaults(m.store, standin.Faults{Silent: true})
+	m.Kill()
+	c.store.SetFaults(m.StoreAddress, standin.Faults{Silent: true})
 	c.start(m)
 	first := c.get(m, "/desk/x", "early")
 	is.True(first.status == http.StatusServiceUnavailable || first.status == http.StatusOK)
@@ -224,15 +223,15 @@
 	c := newCluster(t, 4)
 	c.store.SetFaults("", standin.Faults{Silent: true})
 	for _, m := range c.hosts {
-		c.store.SetFaults(m.store, standin.Faults{Silent: true})
+		c.store.SetFaults(m.StoreAddress, standin.Faults{Silent: true})
 	}
 	for i := range 20 {
 		is.Equal(c.get(c.hosts[i%4], "/ledger/x", fmt.Sprintf("away-%d", i)).status, http.StatusOK)
 	}
 	m := c.hosts[0]
-	m.beating()
+	m.StopBeating()
 	start := time.Now()
-	is.NoErr(m.upstream.Beat(m.control(), "draining"))
+	is.NoErr(m.Upstream.Beat(m.Announce(), "draining"))
 	is.True(time.Since(start) < time.Second)
 }
 
@@ -243,15 +242,15 @@
 			is := is.New(t)
 			c := newCluster(t, 2)
 			m := c.hosts[0]
-			m.beating()
-			c.store.SetFaults(m.store, standin.Faults{LoseWrites: true, Late: late})
-			is.NoErr(m.upstream.Beat(m.control(), "draining"))
+			m.StopBeating()
+			c.store.SetFaults(m.StoreAddress, standin.Faults{LoseWrites: true, Late: late})
+			is.NoErr(m.Upstream.Beat(m.Announce(), "draining"))
 			c.eventually("leaving in the store", func() bool {
 				entry, _ := c.store.Get("tarragondrum-hosts", "host-0")
 				return strings.Contains(string(entry), `"leaving"`)
 			})
-			c.store.SetFaults(m.store, standin.Faults{})
-			is.NoErr(m.upstream.Remove(m.control()))
+			c.store.SetFaults(m.StoreAddress, standin.Faults{})
+			is.NoErr(m.Upstream.Remove(m.Announce()))
 			c.eventually("gone in the store", func() bool {
 				entry, _ := c.store.Get("tarragondrum-hosts", "host-0")
 				return strings.Contains(string(entry), `"gone"`)
@@ -266,7 +265,7 @@
 	is := is.New(t)
 	c := newCluster(t, 4)
 	for _, m := range c.hosts {
-		m.upstream.SetBehaviour(standin.Behaviour{Work: 150 * time.Millisecond})
+		m.Upstream.SetBehaviour(standin.Behaviour{Work: 150 * time.Millisecond})
 	}
 	m := c.hosts[0]
 	stopped := make(chan struct{})
@@ -293,11 +292,11 @@
 	go load(c.hosts[1], "other", isStopped)
 	time.Sleep(50 * time.Millisecond)
 	go func() {
-		m.node.Stop()
+		m.Node.Stop()
 		close(stopped)
 	}()
 	c.eventually("not ready", func() bool {
-		return c.status("http://"+m.ready()+platform.ReadyPath) == http.StatusServiceUnavailable
+		return !m.IsReady(t.Context())
 	})
 	calls.Wait()
 	is.True(time.Since(start) < 6*time.Second)
@@ -308,7 +307,7 @@
 func TestCallerThatLeavesEndsTheWork(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 2)
-	c.hosts[0].upstream.SetBehaviour(standin.Behaviour{Work: 5 * time.Second})
+	c.hosts[0].Upstream.SetBehaviour(standin.Behaviour{Work: 5 * time.Second})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	r := c.request(ctx, c.hosts[1], http.MethodGet, "/desk/x", "left", "")
@@ -326,10 +325,11 @@
 	is := is.New(t)
 	c := newCluster(t, 2)
 	m := c.hosts[0]
-	c.writeSettings(m, 0, "desk", 9)
+	m.GraceS = 9
+	is.NoErr(m.WriteSettings())
 	c.eventually("reloaded", func() bool { return strings.Contains(m.log.String(), `"settings-reloaded"`) })
-	is.NoErr(os.WriteFile(m.settings, []byte(`{"node":`), 0o600))
-	m.node.Reload(true)
+	is.NoErr(os.WriteFile(m.SettingsFile, []byte(`{"node":`), 0o600))
+	m.Node.Reload(true)
 	c.eventually("refused", func() bool { return strings.Contains(m.log.String(), `"settings-refused"`) })
 	is.Equal(c.get(m, "/desk/x", "after").status, http.StatusOK)
 }
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -9,6 +9,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
+	"github.com/tarragondrum/tarragondrum/pkg/pack"
 	"github.com/tarragondrum/tarragondrum/pkg/suspect"
 )
 
@@ -49,7 +50,9 @@
 
 func (p *peers) self() link.Identity {
 	// Not the record's incarnation, which may grow while calls are open.
-	return link.Identity{Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.process }}
+	return link.Identity{
+		Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.process }, Credentials: p.node.credentials,
+	}
 }
 
 func (p *peers) listen(address string) error {
@@ -198,7 +201,7 @@
 
 // greeting is what a node is told when a connection opens.
 func (p *peers) greeting() *link.News {
-	n := &link.News{ConfigVersion: p.node.version(), Hosts: []fleet.Host{p.node.record.current()}}
+	n := &link.News{ConfigVersion: p.node.Version(), Hosts: []fleet.Host{p.node.record.current()}}
 	if hosts := p.node.table.All(); len(hosts) <= meshSize {
 		n.Hosts = hosts
 	}
@@ -269,9 +272,9 @@
 		p.node.suspect(c.Fingerprint, suspect.Life{UpstreamID: c.UpstreamID, Born: c.Born})
 	}
 	if len(n.Config) > 0 {
-		raw, err := unpackConfig(n.Config)
+		raw, err := pack.Unpack(n.Config)
 		if err != nil {
-			p.node.log.Emit(event.ConfigRefused, event.F("revision", n.ConfigRevision), event.F("source", "peer "+node), event.F("error", err))
+			p.node.refuseConfig(n.ConfigRevision, "peer "+node, err)
 			return
 		}
 		p.node.applyConfig(raw, n.ConfigRevision, "peer "+node)
@@ -283,8 +286,8 @@
 		}
 	}
 	switch {
-	case n.ConfigVersion <= p.node.version():
-	case n.Lead != "" || p.node.version() == 0:
+	case n.ConfigVersion <= p.node.Version():
+	case n.Lead != "" || p.node.Version() == 0:
 		p.pull(n.ConfigVersion, reply)
 	case p.node.lead.leads():
 		p.awaitVersion(n.ConfigVersion)
@@ -296,7 +299,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.compressedRevision != s.Revision {
-		p.compressed, p.compressedRevision = packConfig(s.Raw), s.Revision
+		p.compressed, p.compressedRevision = pack.Pack(s.Raw), s.Revision
 	}
 	return p.compressed
 }
@@ -304,7 +307,7 @@
 // pull asks a peer for a configuration that the store has not brought, unless one
 // was asked just now. Leads announce a version again until this node has it.
 func (p *peers) pull(version uint64, reply func(*link.News)) {
-	own := p.node.version()
+	own := p.node.Version()
 	if own >= version {
 		return
 	}
@@ -335,7 +338,7 @@
 // pullFromAny asks connected nodes, one after another, until this node has a
 // version or hears a lead.
 func (p *peers) pullFromAny(version uint64) {
-	if p.node.version() >= version || !p.node.lead.leads() || p.node.stopping.Load() {
+	if p.node.Version() >= version || !p.node.lead.leads() || p.node.stopping.Load() {
 		return
 	}
 	for _, peer := range p.all() { // in the random order of a map
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -33,10 +33,11 @@
 	}
 	n.raw = raw
 	old := n.settings.Swap(s)
+	n.keyring.Store(s.Keyring())
 	if old.Store.Address != s.Store.Address {
 		n.storePtr.Swap(platform.NewStore(s.Store.Address, n.observer.storeCall)).Close()
 	}
-	if old.Listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream {
+	if old.Listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream || old.Peers != s.Peers {
 		n.log.Emit(event.SettingsIgnored, event.F("node", s.Node.ID))
 	}
 	n.log.Emit(event.SettingsReloaded, event.F("changed", true), event.F("signal", signal))
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -137,7 +137,10 @@
 
 func (n *Node) serveMetrics(address string) (*httpserver.Server, error) {
 	handler := promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
-	s, err := httpserver.Start(address, func(h *server.Hertz) { h.GET("/metrics", adaptor.HertzHandler(handler)) })
+	s, err := httpserver.Start(address, func(h *server.Hertz) {
+		h.GET("/metrics", adaptor.HertzHandler(handler))
+		n.serveHandover(h)
+	})
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/tailscale/hujson"
+
+	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 )
 
 // ErrInvalid is returned for settings that cannot be used.
@@ -55,8 +57,29 @@
 		RetryWindowS float64 `json:"retryWindowS"`
 		RetrySlack   float64 `json:"retrySlack"`
 	} `json:"bounds"`
+	Peers Peers `json:"peers"`
+	// Operators may sign versions off. Where there are none, a node puts in force
+	// what lies in the store.
+	Operators []bundle.Operator `json:"operators"`
+
+	keyring *bundle.Keyring
 }
 
+// Peers names the PEM files that seal the connections between nodes. All are given
+// or none.
+type Peers struct {
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	CAFile   string `json:"caFile"`
+}
+
+// Sealed reports whether the connections between nodes are sealed.
+func (p *Peers) Sealed() bool { return p.CertFile != "" }
+
+// Keyring returns the keys of the operators, or nil where the settings name none
+// and the store's word is enough.
+func (s *Settings) Keyring() *bundle.Keyring { return s.keyring }
+
 // Grace is the time between SIGTERM and SIGKILL.
 func (s *Settings) Grace() time.Duration {
 	return time.Duration(s.Bounds.GraceS * float64(time.Second))
@@ -139,5 +162,15 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		fault("bounds.retryRatio and bounds.retrySlack", fmt.Sprint(s.Bounds.RetryRatio, ", ", s.Bounds.RetrySlack), "0 or more")
 	}
+	if (s.Peers.CertFile == "") != (s.Peers.KeyFile == "") || (s.Peers.CertFile == "") != (s.Peers.CAFile == "") {
+		fault("peers", fmt.Sprintf("%q", s.Peers), "certFile, keyFile and caFile or none of them")
+	}
+	if len(s.Operators) > 0 {
+		keyring, err := bundle.OperatorKeys(s.Operators)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%w: %w", ErrInvalid, err))
+		}
+		s.keyring = keyring
+	}
 	return errors.Join(faults...)
 }
--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -68,3 +68,26 @@
 	_, err = hostconf.Parse([]byte(`{"node": `))
 	is.True(errors.Is(err, hostconf.ErrInvalid))
 }
+
+const operator = `{"name": "ioana", "keyID": "ioana-1", "publicKey": "bykRCNP/rjAtEZY1e72C7mQ5CXg0n9HGAlfC/izHDFw="}`
+
+// Operators and certificates may be left out, and are checked where they are given.
+func TestOperatorsAndCertificates(t *testing.T) {
+	is := is.New(t)
+	with := func(text string) (*hostconf.Settings, error) {
+		return hostconf.Parse([]byte(strings.Replace(fill(t), `"store":`, text+`, "store":`, 1)))
+	}
+	s, err := hostconf.Parse([]byte(fill(t)))
+	is.NoErr(err)
+	is.True(s.Keyring() == nil)
+	is.True(!s.Peers.Sealed())
+	s, err = with(`"operators": [` + operator + `], "peers": {"certFile": "c", "keyFile": "k", "caFile": "a"}`)
+	is.NoErr(err)
+	is.True(s.Keyring() != nil)
+	is.True(s.Peers.Sealed())
+	_, err = with(`"operators": [` + operator + `,` + operator + `]`)
+	is.True(errors.Is(err, hostconf.ErrInvalid))
+	is.True(strings.Contains(err.Error(), "operators[1]"))
+	_, err = with(`"peers": {"certFile": "c"}`)
+	is.True(errors.Is(err, hostconf.ErrInvalid))
+}
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/tarragondrum/tarragondrum/pkg/pki"
 )
 
 // ErrNotSent is returned for a call that no byte was sent of.
@@ -22,6 +25,9 @@
 // may have run.
 var ErrLost = errors.New("link: call was lost")
 
+// ErrStranger is returned for a connection to or from another node than it says.
+var ErrStranger = errors.New("link: other side is another node")
+
 const (
 	// dialTimeout bounds opening a connection. A node that is only slow answers
 	// within it.
@@ -49,6 +55,16 @@
 type Identity struct {
 	Node        string
 	Incarnation func() int64
+	// Credentials seal the connections; without them they are plain.
+	Credentials *pki.Credentials
+}
+
+// scheme returns the scheme of the addresses that are dialled.
+func (i *Identity) scheme() string {
+	if i.Credentials != nil {
+		return "wss://"
+	}
+	return "ws://"
 }
 
 // Events are told of what happens on the connections.
@@ -97,7 +113,6 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	p := &Peer{
 		self: self, node: node, address: address, events: events,
-		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
 		done:    make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 		changed: make(chan struct{}),
@@ -105,11 +120,49 @@
 		nextID:  rand.Uint64() >> 1,
 		used:    time.Now(),
 	}
+	p.client = &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DialTLSContext: p.dialSealed(dialer), DisableKeepAlives: true,
+	}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	go p.run()
 	return p
 }
 
+// dialSealed returns a function that connects to the node whose certificate names
+// the peer, and to no other.
+func (p *Peer) dialSealed(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		sealed := &tls.Dialer{NetDialer: dialer, Config: p.self.Credentials.ClientConfig()}
+		c, err := sealed.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		t, ok := c.(*tls.Conn)
+		if !ok {
+			return nil, errors.Join(fmt.Errorf("connection to %s is %T: %w", address, c, ErrStranger), c.Close())
+		}
+		if err := certified(t.ConnectionState(), p.node); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+		return c, nil
+	}
+}
+
+// certified returns an error unless the certificate of the other side names node.
+func certified(state tls.ConnectionState, node string) error {
+	if len(state.PeerCertificates) == 0 {
+		return fmt.Errorf("node %q shows no certificate: %w", node, ErrStranger)
+	}
+	named, err := pki.NodeID(state.PeerCertificates[0])
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrStranger, err)
+	}
+	if named != node {
+		return fmt.Errorf("certificate is of node %q, not of %q: %w", named, node, ErrStranger)
+	}
+	return nil
+}
+
 // Address returns the address that the peer is dialled at.
 func (p *Peer) Address() string { return p.address }
 
@@ -287,7 +340,7 @@
 	header.Set(headerTarget, p.node)
 	header.Set(headerAttempt, strconv.FormatInt(attempts.Add(1), 10))
 	header.Set(headerIncarnation, fmt.Sprint(p.self.Incarnation()))
-	ws, answer, err := websocket.Dial(ctx, "ws://"+p.address+path, &websocket.DialOptions{HTTPClient: p.client, HTTPHeader: header})
+	ws, answer, err := websocket.Dial(ctx, p.self.scheme()+p.address+path, &websocket.DialOptions{HTTPClient: p.client, HTTPHeader: header})
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s at %s: %w", p.node, p.address, err)
 	}
--- /dev/null
+++ b/pkg/link/sealed_test.go
@@ -0,0 +1,76 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/pkg/pki"
+)
+
+// credentials issues the certificate of a node by an authority.
+func credentials(t *testing.T, ca *pki.Authority, node string) *pki.Credentials {
+	t.Helper()
+	is := is.New(t)
+	dir := t.TempDir()
+	cert, key, err := ca.IssueFiles(dir, node, time.Now(), time.Hour)
+	is.NoErr(err)
+	is.NoErr(ca.WriteFiles(dir+"/ca.crt", dir+"/ca.key"))
+	c, err := pki.Load(pki.Files{Cert: cert, Key: key, CA: dir + "/ca.crt"}, func(err error) { t.Error(err) })
+	is.NoErr(err)
+	return c
+}
+
+func authority(t *testing.T) *pki.Authority {
+	t.Helper()
+	ca, err := pki.NewAuthority("test", time.Now(), time.Hour)
+	is.New(t).NoErr(err)
+	return ca
+}
+
+// Sealed connections carry calls between nodes that prove their names to each
+// other, and none else.
+func TestOnlyCertifiedNodesConnect(t *testing.T) {
+	ours, theirs := authority(t), authority(t)
+	life := func() int64 { return 1 }
+	for name, tt := range map[string]struct {
+		caller link.Identity
+		target string
+		ok     bool
+	}{
+		"certified":             {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "a")}, "b", true},
+		"plain":                 {link.Identity{Node: "a", Incarnation: life}, "b", false},
+		"of another authority":  {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, theirs, "a")}, "b", false},
+		"with another's name":   {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "c")}, "b", false},
+		"to another than it is": {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "a")}, "d", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &link.Server{
+				Self: link.Identity{Node: "b", Incarnation: life, Credentials: credentials(t, ours, "b")},
+				Handle: func(context.Context, string, *link.Call) *link.Answer {
+					return &link.Answer{Outcome: link.Ran, Status: 200}
+				},
+				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News)) {}},
+			}
+			address := freeAddress(t)
+			is.NoErr(s.Listen(address))
+			t.Cleanup(func() { _ = s.Close() })
+			p := link.NewPeer(tt.caller, tt.target, address, s.Events)
+			t.Cleanup(p.Close)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			a, err := p.Call(ctx, &link.Call{LeftMs: 1000}, 0)
+			if !tt.ok {
+				is.True(errors.Is(err, link.ErrNotSent))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(a.Status, 200)
+		})
+	}
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -83,6 +84,9 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if s.Self.Credentials != nil {
+		l = tls.NewListener(l, s.Self.Credentials.ServerConfig())
+	}
 	s.callers = make(map[string]*caller)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
@@ -133,6 +137,12 @@
 		http.Error(w, "the caller does not say who it is", http.StatusBadRequest)
 		return
 	}
+	if s.Self.Credentials != nil {
+		if err := certified(*r.TLS, node); err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+	}
 	if target := r.Header.Get(headerTarget); target != s.Self.Node {
 		http.Error(w, fmt.Sprintf("this is node %q, not %q", s.Self.Node, target), http.StatusMisdirectedRequest)
 		return
--- a/pkg/localmesh/caller.go
+++ b/pkg/localmesh/caller.go
@@ -3,95 +3,90 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-
-	"github.com/tarragondrum/tarragondrum/pkg/order"
-	"github.com/tarragondrum/tarragondrum/pkg/reason"
+	"github.com/tarragondrum/tarragondrum/platform"
 )
 
-// callTimeout bounds one call of a Caller.
-const callTimeout = 15 * time.Second
-
-// Call is one request of a caller.
-type Call struct {
-	Method string
-	Host   string
-	Path   string
-	Body   string
-	// Key is the Idempotency-Key; empty means none.
-	Key string
-	// Header holds further request headers.
-	Header map[string]string
+// Request is what a caller sends.
+type Request struct {
+	Method, Host, Path, Body string
+	// ID is made up where it is empty.
+	ID string
+	// Deadline is how long the caller waits; 0 stands for two seconds.
+	Deadline time.Duration
 }
 
-// Answer is what the caller got.
+// Answer is the end of a request as its caller sees it.
 type Answer struct {
-	Status int
-	Body   string
-	Reason reason.Reason
-	Effect reason.Effect
-	// Replayed tells that the answer is the stored one of an earlier call.
-	Replayed bool
+	ID, Body, Signature, RetryAfter string
+	Status                          int
+	Err                             error
 }
 
-// Good reports whether the answer is a success.
-func (a Answer) Good() bool { return a.Status >= 200 && a.Status < 300 }
+// Good reports whether an upstream's whole answer came.
+func (a *Answer) Good() bool { return a.Status == http.StatusOK && a.Signature != "" }
 
-// String describes the answer in a few words.
-func (a Answer) String() string {
-	text := fmt.Sprintf("status %d", a.Status)
-	if a.Reason != "" {
-		text += fmt.Sprintf(", refused: %s, effect: %s", a.Reason, a.Effect)
+// String says how the request ended.
+func (a *Answer) String() string {
+	switch {
+	case a.Err != nil:
+		return a.Err.Error()
+	case a.RetryAfter != "":
+		return fmt.Sprintf("status %d, come back after %s s: %s", a.Status, a.RetryAfter, strings.TrimSpace(a.Body))
 	}
-	if a.Replayed {
-		text += ", stored answer of the first run"
-	}
-	return text
+	return fmt.Sprintf("status %d: %s", a.Status, strings.TrimSpace(a.Body))
 }
 
-// Caller sends requests to nodes as a caller outside the mesh does.
-type Caller struct {
-	http *client.Client
-}
+// plainDeadline is how long a caller waits that does not say so.
+const plainDeadline = 2 * time.Second
 
-// NewCaller returns a caller with its own connections.
-func NewCaller() (*Caller, error) {
-	c, err := client.NewClient(client.WithDialer(standard.NewDialer()))
-	if err != nil {
-		return nil, fmt.Errorf("caller: %w", err)
-	}
-	return &Caller{http: c}, nil
-}
+var lastID atomic.Int64
 
-// Do sends one request to the node at base.
-func (c *Caller) Do(ctx context.Context, base string, call Call) (Answer, error) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(call.Method)
-	req.SetRequestURI(base + call.Path)
-	if call.Host != "" {
-		req.Header.SetHost(call.Host)
+// Call sends a request to the node of a host, on a connection of its own.
+func (h *Host) Call(ctx context.Context, q Request) Answer {
+	if q.ID == "" {
+		q.ID = "call-" + strconv.FormatInt(lastID.Add(1), 10)
 	}
-	if call.Key != "" {
-		req.SetHeader(order.HeaderKey, call.Key)
+	if q.Deadline == 0 {
+		q.Deadline = plainDeadline
 	}
-	for name, value := range call.Header {
-		req.SetHeader(name, value)
+	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+h.Outbound()+q.Path, strings.NewReader(q.Body))
+	if err != nil {
+		return Answer{ID: q.ID, Err: err}
 	}
-	req.SetBodyString(call.Body)
-	if err := c.http.DoTimeout(ctx, req, resp, callTimeout); err != nil {
-		return Answer{}, fmt.Errorf("%s %s%s: %w", call.Method, base, call.Path, err)
+	r.Host = q.Host
+	r.Header.Set(platform.HeaderRequestID, q.ID)
+	r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(q.Deadline.Milliseconds(), 10))
+	r.Header.Set(platform.HeaderCaller, "forged")
+	r.Close = true
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return Answer{ID: q.ID, Err: err}
 	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
 	return Answer{
-		Status:   resp.StatusCode(),
-		Body:     string(resp.Body()),
-		Reason:   reason.Reason(resp.Header.Get(reason.HeaderReason)),
-		Effect:   reason.Effect(resp.Header.Get(reason.HeaderEffect)),
-		Replayed: resp.Header.Get(reason.HeaderReplayed) != "",
-	}, nil
+		ID: q.ID, Body: string(text), Status: a.StatusCode, Err: err,
+		Signature: a.Header.Get(platform.HeaderSignature), RetryAfter: a.Header.Get("Retry-After"),
+	}
+}
+
+// Runs counts how often upstreams ran the request with an id.
+func (m *Mesh) Runs(id string) int {
+	n := 0
+	for _, h := range m.Hosts {
+		seen, _ := h.Upstream.Seen()
+		for _, s := range seen {
+			if s.ID == id && s.Ran {
+				n++
+			}
+		}
+	}
+	return n
 }
--- a/pkg/localmesh/deployment.go
+++ b/pkg/localmesh/deployment.go
@@ -1,80 +1,54 @@
-// Package localmesh runs the nodes of a whole mesh in one process on loopback
-// addresses, with the stand-in platform and stand-in upstreams. The demo, the
-// load tool and tests use it; nothing in it is used by a deployed node.
 package localmesh
 
-import (
-	"fmt"
+import "fmt"
 
-	"github.com/tarragondrum/tarragondrum/pkg/model"
-)
+// Service is a service of a deployment with its instances.
+type Service struct {
+	Name  string
+	Count int
+	Slots int
+}
 
-// Deployment describes a mesh to run.
+// Deployment says which hosts there are. The instances of each service go round
+// the data centres.
 type Deployment struct {
-	// Name is the namespace of the mesh in the platform.
 	Name        string
-	Region      model.Region
-	DataCentres []model.DataCentre
+	DataCentres []string
 	Services    []Service
 }
 
-// Service describes the instances of one service.
-type Service struct {
-	Name        string
-	Instances   int
-	Slots       int
-	Connections int
-}
-
-// Instance is one upstream of a deployment with the place of its host.
-type Instance struct {
-	Name       string
-	DataCentre model.DataCentre
-	Service    Service
-}
-
-// Cluj returns the deployment of the Marcaj Order Desk Mesh.
+// Cluj is the order desk mesh of the examples.
 func Cluj() Deployment {
 	return Deployment{
 		Name:        "cluj",
-		Region:      "ro-nord",
-		DataCentres: []model.DataCentre{"cluj-1", "cluj-2", "cluj-3"},
-		Services: []Service{
-			{Name: "order-desk", Instances: 7, Slots: 9, Connections: 130},
-			{Name: "pigment-ledger", Instances: 5, Slots: 9, Connections: 130},
-		},
+		DataCentres: []string{"cluj-1", "cluj-2", "cluj-3"},
+		Services:    []Service{{Name: "order-desk", Count: 4, Slots: 9}, {Name: "pigment-ledger", Count: 2, Slots: 9}},
 	}
 }
 
-// Casablanca returns the deployment of the Guild Apron Orders Mesh.
+// Casablanca is the apron orders mesh of the examples.
 func Casablanca() Deployment {
 	return Deployment{
 		Name:        "casablanca",
-		Region:      "ma-central",
-		DataCentres: []model.DataCentre{"casa-1", "casa-2", "casa-3", "casa-4"},
-		Services: []Service{
-			{Name: "orders", Instances: 5, Slots: 6, Connections: 110},
-			{Name: "catalogue", Instances: 4, Slots: 6, Connections: 110},
-		},
+		DataCentres: []string{"casablanca-1", "casablanca-2", "casablanca-3", "casablanca-4"},
+		Services:    []Service{{Name: "orders", Count: 5, Slots: 6}, {Name: "catalogue", Count: 4, Slots: 6}},
 	}
 }
 
-// Deployments returns the deployments by name.
-func Deployments() map[string]Deployment {
-	return map[string]Deployment{"cluj": Cluj(), "casablanca": Casablanca()}
+// Uniform is a deployment of one service, for measurements.
+func Uniform(hosts, dataCentres int) Deployment {
+	d := Deployment{Name: "uniform", Services: []Service{{Name: "orders", Count: hosts, Slots: 6}}}
+	for i := range dataCentres {
+		d.DataCentres = append(d.DataCentres, fmt.Sprintf("dc-%d", i+1))
+	}
+	return d
 }
 
-// Instances lists the upstreams, each service spread over the data centres.
-func (d Deployment) Instances() []Instance {
-	var list []Instance
+// Size returns the number of hosts.
+func (d *Deployment) Size() int {
+	n := 0
 	for _, s := range d.Services {
-		for i := range s.Instances {
-			list = append(list, Instance{
-				Name:       fmt.Sprintf("%s-%d", s.Name, i+1),
-				DataCentre: d.DataCentres[i%len(d.DataCentres)],
-				Service:    s,
-			})
-		}
+		n += s.Count
 	}
-	return list
+	return n
 }
--- a/pkg/meshconf/meshconf.go
+++ b/pkg/meshconf/meshconf.go
@@ -3,8 +3,13 @@
 package meshconf
 
 import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -40,9 +45,12 @@
 	Priority int
 }
 
-// Service is one service that routes point at.
+// Service is one service that routes point at. The nodes use its name only.
 type Service struct {
 	Name string
+	// What only others use does not count in the digest.
+	HealthPath     string `json:"-"`
+	MaxConnections int    `json:"-"`
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -61,6 +69,24 @@
 	Limits   Limits
 }
 
+// Digest returns a hash of the whole configuration, which does not depend on the
+// order of its routes, services and parts.
+func (c *Config) Digest() (string, error) {
+	sorted := *c
+	sorted.Services = slices.SortedFunc(slices.Values(c.Services), func(x, y Service) int { return cmp.Compare(x.Name, y.Name) })
+	sorted.Routes = slices.SortedFunc(slices.Values(c.Routes), func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
+	for i := range sorted.Routes {
+		r := &sorted.Routes[i]
+		r.Parts = slices.SortedFunc(slices.Values(r.Parts), func(x, y Part) int { return cmp.Compare(x.Service, y.Service) })
+	}
+	raw, err := json.Marshal(sorted)
+	if err != nil {
+		return "", fmt.Errorf("encode configuration: %w", err)
+	}
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:]), nil
+}
+
 // Snapshot is a compiled configuration. It never changes; a request uses the
 // one that it began with until it ends.
 type Snapshot struct {
@@ -68,7 +94,9 @@
 	// Revision is the store's revision of the configuration.
 	Revision uint64
 	// Raw is the document that the snapshot was decoded from, for peers.
-	Raw      []byte
+	Raw []byte
+	// Record says who accepted the configuration; it may be empty.
+	Record   []byte
 	services map[string]*Service
 	hosts    map[string][]*Route
 }
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -28,13 +28,6 @@
 	return c
 }
 
-// Gauge registers a gauge with labels.
-func Gauge(r *Registry, name, help string, labels ...string) *prometheus.GaugeVec {
-	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
-	r.MustRegister(g)
-	return g
-}
-
 // Histogram registers a histogram of seconds with labels.
 func Histogram(r *Registry, name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
 	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: Namespace, Name: name, Help: help, Buckets: buckets}, labels)
--- a/pkg/platform/fake/faults.go
+++ b/pkg/objects/fake/faults.go
@@ -1,10 +1,6 @@
 package fake
 
-import (
-	"time"
-
-	"golang.org/x/time/rate"
-)
+import "time"
 
 type faults struct {
 	down        bool
@@ -13,15 +9,11 @@
 	deferWrites int
 }
 
-// SetDown refuses every call as unavailable and drops the running watches.
+// SetDown refuses every call as unavailable.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults.down = down
-	if down {
-		s.session++
-		s.wake()
-	}
 }
 
 // SetDelay makes every call wait for d first. A read whose context ends first
@@ -57,36 +49,3 @@
 	}
 	s.deferred = nil
 }
-
-// DropWatches ends every running watch as unavailable.
-func (s *Store) DropWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.session++
-	s.wake()
-}
-
-// Compact forgets the changes so far: a watch from an older revision is refused.
-func (s *Store) Compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.log = nil
-	s.compacted = s.revision
-	s.wake()
-}
-
-// SetRates bounds the calls per second, with a burst of one second; zero means
-// no bound.
-func (s *Store) SetRates(reads, writes int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads = newLimiter(reads)
-	s.writes = newLimiter(writes)
-}
-
-func newLimiter(perSecond int) *rate.Limiter {
-	if perSecond <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
-	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
-}
--- a/pkg/pki/pki.go
+++ b/pkg/pki/pki.go
@@ -19,8 +19,6 @@
 	"path/filepath"
 	"strings"
 	"time"
-
-	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // ServerName is the DNS name in every node certificate.
@@ -103,17 +101,17 @@
 }
 
 // Issue returns a certificate and private key in PEM for a node.
-func (a *Authority) Issue(id model.NodeID, now time.Time, validity time.Duration) (cert, key []byte, err error) {
+func (a *Authority) Issue(id string, now time.Time, validity time.Duration) (cert, key []byte, err error) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, nil, fmt.Errorf("make key of node %q: %w", id, err)
 	}
-	template, err := newTemplate(string(id), now, validity)
+	template, err := newTemplate(id, now, validity)
 	if err != nil {
 		return nil, nil, err
 	}
 	template.DNSNames = []string{ServerName}
-	template.URIs = []*url.URL{{Scheme: uriScheme, Opaque: uriPrefix + url.PathEscape(string(id))}}
+	template.URIs = []*url.URL{{Scheme: uriScheme, Opaque: uriPrefix + url.PathEscape(id)}}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, private.Public(), a.key)
@@ -129,7 +127,7 @@
 
 // IssueFiles writes the certificate and key of a node into dir and returns
 // their names.
-func (a *Authority) IssueFiles(dir string, id model.NodeID, now time.Time, validity time.Duration) (certFile, keyFile string, err error) {
+func (a *Authority) IssueFiles(dir string, id string, now time.Time, validity time.Duration) (certFile, keyFile string, err error) {
 	cert, key, err := a.Issue(id, now, validity)
 	if err != nil {
 		return "", "", err
@@ -145,12 +143,12 @@
 }
 
 // FileNames returns the names that IssueFiles gives to the files of a node.
-func FileNames(dir string, id model.NodeID) (certFile, keyFile string) {
-	return filepath.Join(dir, string(id)+".crt"), filepath.Join(dir, string(id)+".key")
+func FileNames(dir string, id string) (certFile, keyFile string) {
+	return filepath.Join(dir, id+".crt"), filepath.Join(dir, id+".key")
 }
 
 // NodeID returns the node that a certificate names.
-func NodeID(cert *x509.Certificate) (model.NodeID, error) {
+func NodeID(cert *x509.Certificate) (string, error) {
 	for _, u := range cert.URIs {
 		escaped, ok := strings.CutPrefix(u.Opaque, uriPrefix)
 		if u.Scheme != uriScheme || !ok {
@@ -160,7 +158,7 @@
 		if err != nil || id == "" {
 			return "", fmt.Errorf("uri %q: %w", u, ErrNoNodeID)
 		}
-		return model.NodeID(id), nil
+		return id, nil
 	}
 	return "", fmt.Errorf("subject %q: %w", cert.Subject, ErrNoNodeID)
 }
--- a/pkg/pki/pki_test.go
+++ b/pkg/pki/pki_test.go
@@ -27,7 +27,7 @@
 	is.NoErr(err)
 	id, err := pki.NodeID(leaf)
 	is.NoErr(err)
-	is.Equal(string(id), "cluj-1/a")
+	is.Equal(id, "cluj-1/a")
 	_, err = pki.NodeID(&x509.Certificate{})
 	is.True(errors.Is(err, pki.ErrNoNodeID))
 }
--- a/pkg/signoff/crossing_test.go
+++ b/pkg/signoff/crossing_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
+	"github.com/tarragondrum/tarragondrum/pkg/objects/fake"
 	"github.com/tarragondrum/tarragondrum/pkg/signoff"
 )
 
 // slow returns a store that takes a random time before each call, so that the
 // calls of several operators cross in another order for each seed.
-func slow(store platform.Store, random *rand.Rand) platform.Store {
-	return &bundletest.HookedStore{Store: store, Before: func(platform.Key) error {
+func slow(store objects.Store, random *rand.Rand) objects.Store {
+	return &bundletest.HookedStore{Store: store, Before: func(objects.Key) error {
 		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
 		return nil
 	}}
@@ -38,19 +38,19 @@
 			id := prepare(t, store, "one")
 			var wins int
 			var mu sync.Mutex
-			signOff := func(via platform.Store, operator string) {
+			signOff := func(via objects.Store, operator string) {
 				if _, err := signoff.Accept(t.Context(), via, request(id, 0, operator)); err == nil {
 					mu.Lock()
 					defer mu.Unlock()
 					wins++
 				}
 			}
-			acts := []func(platform.Store){
-				func(via platform.Store) { _, _ = bundlestore.Save(t.Context(), via, &b, bundlestore.Meta{}) },
-				func(via platform.Store) { _ = bundlestore.Remove(t.Context(), via, id) },
-				func(via platform.Store) { _ = bundlestore.Remove(t.Context(), via, id) },
-				func(via platform.Store) { signOff(via, "ioana") },
-				func(via platform.Store) {
+			acts := []func(objects.Store){
+				func(via objects.Store) { _, _ = bundlestore.Save(t.Context(), via, &b, bundlestore.Meta{}) },
+				func(via objects.Store) { _ = bundlestore.Remove(t.Context(), via, id) },
+				func(via objects.Store) { _ = bundlestore.Remove(t.Context(), via, id) },
+				func(via objects.Store) { signOff(via, "ioana") },
+				func(via objects.Store) {
 					_, _ = bundlestore.Save(t.Context(), via, &b, bundlestore.Meta{})
 					signOff(via, "mihai")
 				},
--- a/pkg/signoff/faults_test.go
+++ b/pkg/signoff/faults_test.go
@@ -13,8 +13,8 @@
 	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
+	"github.com/tarragondrum/tarragondrum/pkg/objects/fake"
 	"github.com/tarragondrum/tarragondrum/pkg/signoff"
 )
 
@@ -31,7 +31,7 @@
 
 // before prepares the store for the next call and returns an error if the call
 // does not reach it.
-func (f *faults) before(platform.Key) error {
+func (f *faults) before(objects.Key) error {
 	if f.interventions > 0 && rapid.IntRange(0, 7).Draw(f.rt, "intervene") == 0 {
 		f.interventions--
 		f.intervene()
@@ -39,13 +39,11 @@
 	f.store.LoseAnswers(0)
 	f.store.DeferWrites(0)
 	if f.down {
-		return platform.ErrUnavailable
+		return objects.ErrUnavailable
 	}
 	switch rapid.IntRange(0, 11).Draw(f.rt, "fault") {
 	case 0:
-		return platform.ErrUnavailable
-	case 1:
-		return platform.ErrRateLimited
+		return objects.ErrUnavailable
 	case 2:
 		f.store.LoseAnswers(1)
 	case 3:
@@ -80,7 +78,7 @@
 				ids = append(ids, prepare(t, store, name))
 			}
 			var all []outcome
-			signOff := func(via platform.Store) {
+			signOff := func(via objects.Store) {
 				r := request(rapid.SampledFrom(ids).Draw(rt, "bundle"), 0, "ioana")
 				h, _, err := bundlestore.ReadHead(t.Context(), store)
 				is.New(t).NoErr(err)
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -1,5 +1,5 @@
 // Package signoff accepts bundles: it signs the acceptance and puts it in force
-// by one conditional update of the head. Of two racing operators one wins; a
+// by one conditional update of the object that nodes follow. Of two racing operators one wins; a
 // lost answer is resolved by the operation id inside the acceptance.
 package signoff
 
@@ -14,7 +14,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
 )
 
 const (
@@ -77,7 +77,7 @@
 
 // Error tells the operator how to find out.
 func (e *UnknownError) Error() string {
-	return fmt.Sprintf("the platform did not say whether version %d was accepted; run \"tarragondrum bundle status --operation %s --expect-version %d\" before signing off again: %v",
+	return fmt.Sprintf("the store did not say whether version %d was accepted; run \"tarragondrum bundle status --operation %s --expect-version %d\" before signing off again: %v",
 		e.Version, e.Operation, e.Version-1, e.Cause)
 }
 
@@ -88,7 +88,7 @@
 // another version is in force than expected and an *UnknownError if the
 // platform did not tell the outcome; any other error means that no version was
 // accepted.
-func Accept(ctx context.Context, store platform.Store, r Request) (bundle.Acceptance, error) {
+func Accept(ctx context.Context, store objects.Store, r Request) (bundle.Acceptance, error) {
 	head, revision, err := bundlestore.ReadHead(ctx, store)
 	if err != nil {
 		return bundle.Acceptance{}, err
@@ -104,38 +104,44 @@
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
-	if err := check(ctx, store, r.Bundle); err != nil {
+	b, err := load(ctx, store, r.Bundle)
+	if err != nil {
+		return bundle.Acceptance{}, err
+	}
+	config := b.Config(a.Version)
+	if a.Config, err = config.Digest(); err != nil {
 		return bundle.Acceptance{}, err
 	}
 	a.Preparer = m.Meta.Preparer
 	if err := a.Sign(r.KeyID, r.Key); err != nil {
 		return bundle.Acceptance{}, err
 	}
-	value, err := json.Marshal(head.Next(a))
+	record, err := json.Marshal(head.Next(a))
 	if err != nil {
-		return bundle.Acceptance{}, fmt.Errorf("encode head: %w", err)
+		return bundle.Acceptance{}, fmt.Errorf("encode record of version %d: %w", a.Version, err)
 	}
-	a, err = commit(ctx, store, update{acceptance: a, value: value, revision: revision, expect: r.Expect})
+	next := objects.InForce{Config: config, Record: record, Revision: revision}
+	a, err = commit(ctx, store, update{acceptance: a, next: next, expect: r.Expect})
 	// This only tidies the bundle's record; readers find out without it.
 	_ = bundlestore.Settle(ctx, store, r.Bundle)
 	return a, err
 }
 
-// check reads the whole bundle and applies the rules that nodes apply.
-func check(ctx context.Context, store platform.Store, id bundle.ID) error {
+// load reads the whole bundle and applies the rules that hold for it.
+func load(ctx context.Context, store objects.Store, id bundle.ID) (bundle.Bundle, error) {
 	b, err := bundlestore.Load(ctx, store, id)
 	if err != nil {
-		return err
+		return bundle.Bundle{}, err
 	}
 	if err := bundle.Check(&b); err != nil {
-		return fmt.Errorf("bundle %.12s: %w", id, err)
+		return bundle.Bundle{}, fmt.Errorf("bundle %.12s: %w", id, err)
 	}
-	return nil
+	return b, nil
 }
 
 // sign returns the signed acceptance, but for its preparer, after checking the
 // request and the key.
-func (r *Request) sign(head *bundlestore.Head) (bundle.Acceptance, error) {
+func (r *Request) sign(head *bundle.Head) (bundle.Acceptance, error) {
 	if len(r.Reason) > maxReasonBytes {
 		return bundle.Acceptance{}, fmt.Errorf("reason has %d bytes, at most %d are allowed", len(r.Reason), maxReasonBytes)
 	}
@@ -157,26 +163,25 @@
 	return a, r.Keyring.Verify(&a)
 }
 
-// update is one conditional update of the head.
+// update is one conditional update of what is in force.
 type update struct {
 	acceptance bundle.Acceptance
-	value      json.RawMessage
-	revision   platform.Revision
+	next       objects.InForce
 	expect     model.Version
 }
 
-// commit writes the head. Once an answer was lost it reads the head before
+// commit makes the update. Once an answer was lost it reads the head before
 // every further step: the operation id tells whether the update took effect.
 // Only while the head still has the expected revision is the identical update
 // sent again, which at most one of the two can win. It returns the acceptance
 // with every error too.
-func commit(ctx context.Context, store platform.Store, u update) (bundle.Acceptance, error) {
-	_, err := store.Put(ctx, bundlestore.HeadKey(), u.value, u.revision)
+func commit(ctx context.Context, store objects.Store, u update) (bundle.Acceptance, error) {
+	_, err := store.Accept(ctx, u.next)
 	if err == nil {
 		return u.acceptance, nil
 	}
-	sent := errors.Is(err, platform.ErrUnknownOutcome)
-	if !sent && !errors.Is(err, platform.ErrConflict) {
+	sent := errors.Is(err, objects.ErrUnknownOutcome)
+	if !sent && !errors.Is(err, objects.ErrConflict) {
 		return u.acceptance, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, err)
 	}
 	delay := resolveDelay
@@ -202,7 +207,7 @@
 
 // resolve reads the head back and decides. It reports done when the outcome is
 // certain; the error is then the outcome.
-func resolve(ctx context.Context, store platform.Store, u update, sent bool) (done bool, err error) {
+func resolve(ctx context.Context, store objects.Store, u update, sent bool) (done bool, err error) {
 	head, revision, err := bundlestore.ReadHead(ctx, store)
 	if err != nil {
 		return false, err
@@ -210,7 +215,7 @@
 	if _, ok := head.Find(u.acceptance.Operation); ok {
 		return true, nil
 	}
-	if revision != u.revision {
+	if revision != u.next.Revision {
 		winner, ok := successor(head, u.acceptance.Version)
 		if !ok {
 			return false, fmt.Errorf("head is at version %d and no longer lists version %d", head.Acceptance.Version, u.acceptance.Version)
@@ -218,16 +223,16 @@
 		return true, &ConflictError{Expected: u.expect, Winner: winner}
 	}
 	if !sent {
-		return true, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, platform.ErrConflict)
+		return true, fmt.Errorf("sign off version %d: nothing was changed: %w", u.acceptance.Version, objects.ErrConflict)
 	}
-	if _, err := store.Put(ctx, bundlestore.HeadKey(), u.value, u.revision); err != nil {
+	if _, err := store.Accept(ctx, u.next); err != nil {
 		return false, err
 	}
 	return true, nil
 }
 
 // successor returns the acceptance that took the given version.
-func successor(head bundlestore.Head, v model.Version) (bundle.Acceptance, bool) {
+func successor(head bundle.Head, v model.Version) (bundle.Acceptance, bool) {
 	for _, a := range head.All() {
 		if a.Version == v {
 			return a, true
--- a/pkg/signoff/signoff_test.go
+++ b/pkg/signoff/signoff_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/ed25519"
-	"encoding/json"
 	"errors"
 	"sync"
 	"testing"
@@ -16,13 +15,13 @@
 	"github.com/tarragondrum/tarragondrum/pkg/bundle/bundletest"
 	"github.com/tarragondrum/tarragondrum/pkg/bundlestore"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
-	"github.com/tarragondrum/tarragondrum/pkg/platform"
-	"github.com/tarragondrum/tarragondrum/pkg/platform/fake"
+	"github.com/tarragondrum/tarragondrum/pkg/objects"
+	"github.com/tarragondrum/tarragondrum/pkg/objects/fake"
 	"github.com/tarragondrum/tarragondrum/pkg/signoff"
 )
 
 // prepare stores a bundle with one service of the given name.
-func prepare(t *testing.T, store platform.Store, service string) bundle.ID {
+func prepare(t *testing.T, store objects.Store, service string) bundle.ID {
 	t.Helper()
 	b := bundletest.Valid(service)
 	id, err := bundlestore.Save(t.Context(), store, &b, bundlestore.Meta{Preparer: "ioana"})
@@ -40,7 +39,7 @@
 	}
 }
 
-func head(t *testing.T, store platform.Store) bundlestore.Head {
+func head(t *testing.T, store objects.Store) bundle.Head {
 	t.Helper()
 	h, _, err := bundlestore.ReadHead(t.Context(), store)
 	is.New(t).NoErr(err)
@@ -62,7 +61,13 @@
 	is.Equal(h.Recent[0].Bundle, one)
 	key := request(two, 0, "mihai").Key.Public().(ed25519.PublicKey)
 	ring := bundle.NewKeyring(bundle.TrustedKey{ID: "mihai-1", Operator: "mihai", Public: key})
-	is.NoErr(ring.Verify(&h.Acceptance)) // survives the platform's JSON
+	is.NoErr(ring.Verify(&h.Acceptance)) // survives JSON
+	now, err := store.InForce(t.Context())
+	is.NoErr(err)
+	digest, err := now.Config.Digest()
+	is.NoErr(err)
+	is.Equal(digest, a.Config)
+	is.Equal(now.Config.Version, uint64(2))
 }
 
 func TestOfRacingOperatorsOneWins(t *testing.T) {
@@ -103,12 +108,9 @@
 	before, after func()
 }
 
-func (s *headStore) Put(ctx context.Context, key platform.Key, value json.RawMessage, revision platform.Revision) (platform.Revision, error) {
-	if key != bundlestore.HeadKey() {
-		return s.Store.Put(ctx, key, value, revision)
-	}
+func (s *headStore) Accept(ctx context.Context, next objects.InForce) (objects.Revision, error) {
 	call(&s.before)
-	r, err := s.Store.Put(ctx, key, value, revision)
+	r, err := s.Store.Accept(ctx, next)
 	call(&s.after)
 	return r, err
 }
@@ -227,7 +229,7 @@
 
 	store.SetDown(true)
 	_, err = signoff.Accept(t.Context(), store, request(id, 0, "ioana"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, objects.ErrUnavailable))
 	store.SetDown(false)
 
 	_, err = signoff.Accept(t.Context(), store, request(id, 7, "ioana"))
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -8,6 +8,8 @@
 package suspect
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -86,3 +88,24 @@
 	c := t.suspects[fingerprint]
 	return c != nil && len(c.lives) >= maxCrashes && now.Sub(c.last) <= memory
 }
+
+// Refusal is a request that is refused.
+type Refusal struct {
+	Fingerprint uint64
+	Crashes     int
+	Until       time.Time
+}
+
+// Refusals lists the requests that are refused now, by their fingerprints.
+func (t *Tracker) Refusals(now time.Time) []Refusal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := []Refusal{}
+	for f, c := range t.suspects {
+		if len(c.lives) >= maxCrashes && now.Sub(c.last) <= memory {
+			list = append(list, Refusal{Fingerprint: f, Crashes: len(c.lives), Until: c.last.Add(memory)})
+		}
+	}
+	slices.SortFunc(list, func(x, y Refusal) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+	return list
+}
--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -131,7 +131,7 @@
 func (m *mesh) start(p *process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command = exec.Command(m.binary, "host", "--settings", p.settings)
+	p.command = exec.Command(m.binary, "node", "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	p.life++
 	if err := p.command.Start(); err != nil {
