Spend less processor time on connections and hosts; removed hosts stay away

Cause: a profile of 77 nodes in one process: each connection had a timer of its own (four wake-ups a second, a hundred connections a node in a large fleet), and each request sorted the records of all hosts.

Change: link.Pulse looks at all connections of a process with one timer. fleet.Table keeps its hosts sorted and by service between changes. It remembers removals: an older record of the host is not taken in, its teller is told, and the host itself, if it lives, comes back with a change (TestRemovedHostStaysAway, which did not build before; TestRemovedHostThatLivesComesBack held before too).

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -39,13 +39,8 @@
 // candidates returns the usable hosts of the request's service.
 func (s *Service) candidates(r *request) ([]fleet.Host, []Candidate, Origin) {
 	now := time.Now()
-	var hosts []fleet.Host
-	var candidates []Candidate
-	for _, h := range s.options.Table.All() {
-		if h.Usable() && h.Upstream.Service == r.service {
-			hosts = append(hosts, h)
-		}
-	}
+	hosts := s.options.Table.Usable(r.service)
+	candidates := make([]Candidate, 0, len(hosts))
 	s.mu.Lock()
 	origin := Origin{DataCentre: s.options.DataCentre, Region: s.options.Region, Bytes: s.bytes[r.route.Name]}
 	for i := range hosts {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -4,8 +4,10 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 // State is the state of an upstream.
@@ -64,14 +66,42 @@
 // Usable reports whether requests may be sent to the upstream.
 func (h *Host) Usable() bool { return !h.Stopping && h.Upstream.State == StateReady }
 
+// Removal says that a host was taken away, up to a change of its record.
+type Removal struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Change      int64  `cbor:"3,keyasint,omitempty"`
+}
+
+// Covers reports whether a record is one that was taken away.
+func (r *Removal) Covers(h *Host) bool {
+	return h.Incarnation < r.Incarnation || h.Incarnation == r.Incarnation && h.Change <= r.Change
+}
+
+// maxRemovals bounds the removals that a table remembers, far above those of the
+// time in which a node that missed one may tell the old record.
+const maxRemovals = 4096
+
 // Table holds the newest record of each host. It is safe for concurrent use.
 type Table struct {
-	mu    sync.RWMutex
+	mu    sync.Mutex
 	hosts map[string]Host
+	// removals are the newest ones of hosts that were taken away.
+	removals map[string]Removal
+	// view is what requests read, nil after a change.
+	view atomic.Pointer[view]
+}
+
+// view is the table at one time. It never changes.
+type view struct {
+	hosts  []Host            // sorted by node
+	usable map[string][]Host // by service
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{hosts: make(map[string]Host)} }
+func NewTable() *Table {
+	return &Table{hosts: make(map[string]Host), removals: make(map[string]Removal)}
+}
 
 // Merge takes in a record and reports whether it changed the table.
 func (t *Table) Merge(h Host) bool {
@@ -80,6 +110,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if r, ok := t.removals[h.Node]; ok {
+		if r.Covers(&h) {
+			return false
+		}
+		delete(t.removals, h.Node)
+	}
 	old, ok := t.hosts[h.Node]
 	if ok && !h.newer(&old) {
 		return false
@@ -89,38 +125,70 @@
 		h.Upstream = old.Upstream
 	}
 	t.hosts[h.Node] = h
+	t.view.Store(nil)
 	return true
 }
 
-// Remove forgets a host, unless a newer record than the given incarnation has
-// come in.
-func (t *Table) Remove(node string, incarnation int64) bool {
+// Remove forgets a host, unless a newer record than the removal's has come in, and
+// reports whether it did.
+func (t *Table) Remove(r Removal) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old, ok := t.hosts[node]
-	if !ok || old.Incarnation > incarnation {
+	old, ok := t.hosts[r.Node]
+	if ok && !r.Covers(&old) {
 		return false
 	}
-	delete(t.hosts, node)
-	return true
+	if len(t.removals) < maxRemovals {
+		t.removals[r.Node] = r
+	}
+	delete(t.hosts, r.Node)
+	t.view.Store(nil)
+	return ok
+}
+
+// Removed returns the removal that took a record away, if there is one.
+func (t *Table) Removed(h Host) (Removal, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.removals[h.Node]
+	return r, ok && r.Covers(&h)
 }
 
 // Get returns the record of a host.
 func (t *Table) Get(node string) (Host, bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	h, ok := t.hosts[node]
 	return h, ok
 }
 
-// All returns every record, sorted by node.
-func (t *Table) All() []Host {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	hosts := make([]Host, 0, len(t.hosts))
+// All returns every record, sorted by node. The list must not be changed.
+func (t *Table) All() []Host { return t.current().hosts }
+
+// Len returns the number of hosts.
+func (t *Table) Len() int { return len(t.current().hosts) }
+
+// Usable returns the hosts of a service to which requests may be sent. The list
+// must not be changed.
+func (t *Table) Usable(service string) []Host { return t.current().usable[service] }
+
+// current returns the view of the table as it is.
+func (t *Table) current() *view {
+	if v := t.view.Load(); v != nil {
+		return v
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := &view{hosts: make([]Host, 0, len(t.hosts)), usable: make(map[string][]Host)}
 	for _, h := range t.hosts {
-		hosts = append(hosts, h)
+		v.hosts = append(v.hosts, h)
+	}
+	slices.SortFunc(v.hosts, func(x, y Host) int { return cmp.Compare(x.Node, y.Node) })
+	for i := range v.hosts {
+		if h := &v.hosts[i]; h.Usable() {
+			v.usable[h.Upstream.Service] = append(v.usable[h.Upstream.Service], *h)
+		}
 	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Node < hosts[j].Node })
-	return hosts
+	t.view.Store(v)
+	return v
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -62,8 +62,8 @@
 	is := is.New(t)
 	table := fleet.NewTable()
 	is.True(table.Merge(fleet.Host{Node: "a", PeerAddress: "127.0.0.1:1", Incarnation: 2}))
-	is.True(!table.Remove("a", 1))
-	is.True(table.Remove("a", 2))
+	is.True(!table.Remove(fleet.Removal{Node: "a", Incarnation: 1}))
+	is.True(table.Remove(fleet.Removal{Node: "a", Incarnation: 2}))
 	is.True(!table.Merge(fleet.Host{Node: "", PeerAddress: "127.0.0.1:1"}))
 }
 
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -197,7 +197,7 @@
 
 // readConfig reads the configuration at every interval.
 func (l *lead) readConfig(ctx context.Context) {
-	longest := awayPause(len(l.node.table.All()))
+	longest := awayPause(l.node.table.Len())
 	l.repeat(ctx, readInterval, longest, func() error {
 		err := l.readIfChanged(ctx)
 		l.outcome(ctx, err)
@@ -276,7 +276,7 @@
 	pause := retryMin
 	for ctx.Err() == nil && l.listHosts(ctx) != nil {
 		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, max(retryMax, awayPause(len(l.node.table.All()))))
+		pause = min(2*pause, max(retryMax, awayPause(l.node.table.Len())))
 	}
 }
 
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -183,7 +183,7 @@
 func (n *Node) budget() dispatch.BudgetLimits {
 	s := n.settings.Load()
 	return dispatch.BudgetLimits{
-		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow(), Nodes: len(n.table.All()),
+		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.RetryWindow(), Nodes: n.table.Len(),
 	}
 }
 
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -54,7 +54,7 @@
 			delete(n.revisions, e.Name)
 			n.mu.Unlock()
 			if h, ok := n.table.Get(e.Name); ok {
-				removal := link.Removal{Node: e.Name, Incarnation: h.Incarnation}
+				removal := fleet.Removal{Node: e.Name, Incarnation: h.Incarnation, Change: h.Change}
 				n.remove(removal, "store")
 				news.Removed = append(news.Removed, removal)
 			}
@@ -89,13 +89,14 @@
 }
 
 // remove takes in that the entry of a host was removed.
-func (n *Node) remove(r link.Removal, source string) {
+func (n *Node) remove(r fleet.Removal, source string) {
 	if r.Node == n.settings.Load().Node.ID {
-		n.record.learn(&platform.HostEntry{Name: r.Node, Deleted: true})
+		n.record.restore(&r)
 		return
 	}
-	if n.table.Remove(r.Node, r.Incarnation) {
-		n.log.Emit(event.HostRemoved, event.F("host", r.Node), event.F("incarnation", r.Incarnation), event.F("source", source))
+	if n.table.Remove(r) {
+		n.log.Emit(event.HostRemoved, event.F("host", r.Node), event.F("incarnation", r.Incarnation), event.F("change", r.Change),
+			event.F("source", source))
 		n.peers.follow()
 	}
 }
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -31,6 +31,7 @@
 type peers struct {
 	node   *Node
 	server *link.Server
+	pulse  *link.Pulse
 
 	mu      sync.Mutex
 	peers   map[string]*link.Peer
@@ -45,13 +46,14 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, peers: make(map[string]*link.Peer), lostAt: make(map[string]time.Time)}
+	return &peers{node: n, pulse: link.NewPulse(), peers: make(map[string]*link.Peer), lostAt: make(map[string]time.Time)}
 }
 
 func (p *peers) self() link.Identity {
 	// Not the record's incarnation, which may grow while calls are open.
 	return link.Identity{
-		Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.process }, Credentials: p.node.credentials,
+		Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.process },
+		Pulse: p.pulse, Credentials: p.node.credentials,
 	}
 }
 
@@ -172,7 +174,7 @@
 	for _, peer := range p.all() {
 		peer.SendNews(n)
 	}
-	if p.server != nil && len(p.node.table.All()) > meshSize {
+	if p.server != nil && p.node.table.Len() > meshSize {
 		// Those that call this node, its lead among them, may not be called by it.
 		p.server.SendNews(n)
 	}
@@ -202,8 +204,8 @@
 // greeting is what a node is told when a connection opens.
 func (p *peers) greeting() *link.News {
 	n := &link.News{ConfigVersion: p.node.Version(), Hosts: []fleet.Host{p.node.record.current()}}
-	if hosts := p.node.table.All(); len(hosts) <= meshSize {
-		n.Hosts = hosts
+	if p.node.table.Len() <= meshSize {
+		n.Hosts = p.node.table.All()
 	}
 	return n
 }
@@ -249,8 +251,13 @@
 
 // news takes in what another node says beside calls.
 func (p *peers) news(node string, n *link.News, reply func(*link.News)) {
-	forward := &link.News{}
+	forward, stale := &link.News{}, &link.News{}
 	for _, h := range n.Hosts {
+		if r, ok := p.node.table.Removed(h); ok {
+			// The sender missed it; if it is the host itself, it comes back with a change.
+			stale.Removed = append(stale.Removed, r)
+			continue
+		}
 		if old, ok := p.node.table.Get(h.Node); ok && h.Node == node && fleet.Supersedes(old.Upstream, h.Upstream) {
 			// Its former process had heard more of the upstream.
 			reply(&link.News{Hosts: []fleet.Host{old}})
@@ -259,7 +266,10 @@
 			forward.Hosts = append(forward.Hosts, h)
 		}
 	}
-	if len(forward.Hosts) > 0 && p.node.lead.leads() && len(p.node.table.All()) > meshSize {
+	if len(stale.Removed) > 0 {
+		reply(stale)
+	}
+	if len(forward.Hosts) > 0 && p.node.lead.leads() && p.node.table.Len() > meshSize {
 		p.broadcastCovered(forward)
 	}
 	for _, r := range n.Removed {
@@ -379,4 +389,5 @@
 	for _, peer := range p.all() {
 		peer.Close()
 	}
+	p.pulse.Close()
 }
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -182,7 +182,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if entry.Deleted {
-		if entry.Revision >= r.revision && r.host.Upstream.State != fleet.StateNone && r.host.Upstream.State != fleet.StateGone && !r.host.Stopping {
+		if entry.Revision >= r.revision && r.isAnnounced() {
 			r.revision, r.saved = 0, 0
 			r.update(func(*fleet.Host) {})
 		}
@@ -192,6 +192,23 @@
 	r.adopt(entry.Host)
 }
 
+// restore writes the record anew after a peer said that it was taken away. The
+// store's entry is gone then, which the next write finds.
+func (r *record) restore(removal *fleet.Removal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if removal.Covers(&r.host) && r.isAnnounced() {
+		r.update(func(*fleet.Host) {})
+	}
+}
+
+// isAnnounced reports whether others should know of the upstream. The caller
+// holds mu.
+func (r *record) isAnnounced() bool {
+	s := r.host.Upstream.State
+	return s != fleet.StateNone && s != fleet.StateGone && !r.host.Stopping
+}
+
 // learnFromPeer takes in what a peer knows of this host, if a former process told it.
 func (r *record) learnFromPeer(known fleet.Host) {
 	r.mu.Lock()
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -130,13 +130,7 @@
 	// Lead is the rank of a sender that reached the store just now.
 	Lead string `cbor:"7,keyasint,omitempty"`
 	// Removed are hosts whose entries were taken away.
-	Removed []Removal `cbor:"8,keyasint,omitempty"`
-}
-
-// Removal names a host whose entry was taken away, up to an incarnation.
-type Removal struct {
-	Node        string `cbor:"1,keyasint"`
-	Incarnation int64  `cbor:"2,keyasint"`
+	Removed []fleet.Removal `cbor:"8,keyasint,omitempty"`
 }
 
 // Crash tells that an upstream crashed while a request ran.
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -16,6 +16,9 @@
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 )
 
+// pulse serves the connections of all tests.
+var pulse = link.NewPulse()
+
 // relay passes connections on and can cut them or fall silent.
 type relay struct {
 	listener net.Listener
@@ -89,7 +92,7 @@
 }
 
 func identity(node string, incarnation int64) link.Identity {
-	return link.Identity{Node: node, Incarnation: func() int64 { return incarnation }}
+	return link.Identity{Node: node, Incarnation: func() int64 { return incarnation }, Pulse: pulse}
 }
 
 func quiet() link.Events {
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -55,6 +55,8 @@
 type Identity struct {
 	Node        string
 	Incarnation func() int64
+	// Pulse looks at the connections of the process.
+	Pulse *Pulse
 	// Credentials seal the connections; without them they are plain.
 	Credentials *pki.Credentials
 }
@@ -352,7 +354,7 @@
 	s := newSession(p.ctx, ws)
 	s.incarnation = incarnation
 	go s.writeLoop()
-	go s.watch(p.busy)
+	p.self.Pulse.watch(s, p.busy)
 	return s, nil
 }
 
--- a/pkg/link/sealed_test.go
+++ b/pkg/link/sealed_test.go
@@ -42,16 +42,16 @@
 		target string
 		ok     bool
 	}{
-		"certified":             {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "a")}, "b", true},
-		"plain":                 {link.Identity{Node: "a", Incarnation: life}, "b", false},
-		"of another authority":  {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, theirs, "a")}, "b", false},
-		"with another's name":   {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "c")}, "b", false},
-		"to another than it is": {link.Identity{Node: "a", Incarnation: life, Credentials: credentials(t, ours, "a")}, "d", false},
+		"certified":             {link.Identity{Node: "a", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "a")}, "b", true},
+		"plain":                 {link.Identity{Node: "a", Incarnation: life, Pulse: pulse}, "b", false},
+		"of another authority":  {link.Identity{Node: "a", Incarnation: life, Pulse: pulse, Credentials: credentials(t, theirs, "a")}, "b", false},
+		"with another's name":   {link.Identity{Node: "a", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "c")}, "b", false},
+		"to another than it is": {link.Identity{Node: "a", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "a")}, "d", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := &link.Server{
-				Self: link.Identity{Node: "b", Incarnation: life, Credentials: credentials(t, ours, "b")},
+				Self: link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "b")},
 				Handle: func(context.Context, string, *link.Call) *link.Answer {
 					return &link.Answer{Outcome: link.Ran, Status: 200}
 				},
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -167,7 +167,7 @@
 		old.cancel(errors.New("link: the caller connected again"))
 	}
 	go session.writeLoop()
-	go session.watch(func() bool { return false })
+	s.Self.Pulse.watch(session, func() bool { return false })
 	s.Events.Up(node)
 	session.readLoop(func(f *frame) { s.take(node, c, session, f) })
 	cause := context.Cause(session.ctx)
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -109,28 +109,6 @@
 	}
 }
 
-// watch pings the peer while it is silent, and ends a connection on which a ping
-// is not followed by anything. busy reports whether calls are open on it.
-func (s *session) watch(busy func() bool) {
-	tick := time.NewTicker(pingInterval)
-	defer tick.Stop()
-	var pings pinger
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-tick.C:
-		}
-		switch pings.look(time.Since(s.start), time.Duration(s.heard.Load()), busy()) {
-		case pingNow:
-			s.send(&frame{Kind: kindPing})
-		case peerLost:
-			s.cancel(fmt.Errorf("link: a ping has not been answered for %s", (time.Since(s.start) - pings.sent).Round(time.Millisecond)))
-			return
-		}
-	}
-}
-
 // verdict is what follows a look at a connection.
 type verdict int
 
