Log what a node begins to believe of upstreams; relay links in the soak

Cause: that an upstream listens again, that a route's mean time was halved and that the upstream of another host is avoided changed what a node does without a line in the log. The soak broke the way to upstreams, not that between nodes. The pause of a node whose store is away was worked out once, from the hosts that it knew when it began to lead.

Change: events 826 to 829. Nodes may be reached at another port than they listen on (listen.peerAdvertised), where the soak puts a relay that resets, silences or slows the links. The pause follows the hosts that are known.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -89,15 +89,33 @@
 // meanWeight is the weight of the newest answer in a route's mean size and time.
 const meanWeight = 0.05
 
+// ended takes in how a try at a node ended, and tells when the node begins or ends
+// to be avoided.
 func (s *Service) ended(node string, r *request, a *link.Answer, took time.Duration) {
+	if share, avoided, changed := s.note(node, r, a, took); changed {
+		s.options.Silent(node, share, avoided)
+	}
+}
+
+func (s *Service) note(node string, r *request, a *link.Answer, took time.Duration) (share float64, avoided, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.endpoints[node]
 	e.inFlight--
 	mean, known := s.took[r.route.Name]
 	if a != nil || known && float64(took) > hedgeFactor*float64(mean) {
-		e.silence.Note(time.Now(), a != nil)
+		now := time.Now()
+		e.silence.Note(now, a != nil)
+		share = e.silence.Share(now)
+		avoided = a == nil && (e.avoided || share > avoidFailing)
+		changed, e.avoided = avoided != e.avoided, avoided
 	}
+	s.learn(e, r, a, took)
+	return share, avoided, changed
+}
+
+// learn takes in the load, the size and the time of an answer. The caller holds mu.
+func (s *Service) learn(e *endpoint, r *request, a *link.Answer, took time.Duration) {
 	if a != nil && a.Load.Slots > 0 {
 		e.report, e.reportAt, e.inFlightThen = a.Load, time.Now(), e.inFlight
 	}
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -70,6 +70,9 @@
 	Observe func(r *Record)
 	// Repeated is told of each request that is placed again.
 	Repeated func(r *Record, reason string, verdict Next, allowed bool)
+	// Silent is told when the upstream of a node begins or ends to be avoided, since
+	// a share of the newest requests brought no answer.
+	Silent func(node string, share float64, avoided bool)
 }
 
 // Record tells how a request ended, for its log line and counters.
@@ -96,6 +99,8 @@
 	reportAt     time.Time
 	inFlightThen int
 	silence      Silence
+	// avoided tells that the silence was reported.
+	avoided bool
 }
 
 // Service answers the requests that begin on this host.
--- a/pkg/event/upstream.go
+++ b/pkg/event/upstream.go
@@ -7,4 +7,8 @@
 	UpstreamOldBeat = register(822, "heartbeat-late", LevelInfo, "a heartbeat was older than what is known and changed nothing", "")
 	UpstreamDied    = register(823, "upstream-died", LevelWarn, "the upstream of this host does not listen any more; requests that ran are suspects", "Look at the upstream's own log.")
 	RequestPoison   = register(824, "request-quarantined", LevelWarn, "a request crashed several upstreams and is refused from now on", "Find the caller by the fingerprint.")
+	UpstreamRevived = register(826, "upstream-answers-again", LevelInfo, "the upstream of this host, which did not listen, answered a request", "")
+	RouteMeanHalved = register(827, "route-mean-halved", LevelInfo, "the mean time of a route was halved, since it alone ruled out its requests and no answer came lately", "")
+	UpstreamSilent  = register(828, "upstream-avoided", LevelWarn, "requests to the upstream of a host bring no answer; it is used only if no other is left", "Look at that host and the links to its data centre.")
+	UpstreamAnswers = register(829, "upstream-not-avoided", LevelInfo, "the upstream of a host that was avoided brought an answer", "")
 )
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -26,9 +26,9 @@
 	// can be deaf for seconds, plain reads are not.
 	readInterval = 900 * time.Millisecond
 	// settleTime is how long a node leads before it watches, and firstRead when
-	// after its start it reads the configuration for the second time: when all start
-	// at once most are covered by then.
-	settleTime = 1200 * time.Millisecond
+	// after its start it reads the configuration for the second time. When all start
+	// at once they know each other, and are covered, after the second list.
+	settleTime = 4500 * time.Millisecond
 	firstRead  = 2500 * time.Millisecond
 	// hostsInterval is the time between two plain reads of all hosts, which tell
 	// each other of changes themselves.
@@ -197,7 +197,7 @@
 
 // readConfig reads the configuration at every interval.
 func (l *lead) readConfig(ctx context.Context) {
-	longest := awayPause(l.node.table.Len())
+	longest := func() time.Duration { return awayPause(l.node.table.Len()) }
 	l.repeat(ctx, readInterval, longest, func() error {
 		err := l.readIfChanged(ctx)
 		l.outcome(ctx, err)
@@ -274,19 +274,23 @@
 // listOnce reads the records of all hosts until the store answers.
 func (l *lead) listOnce(ctx context.Context) {
 	pause := retryMin
-	for ctx.Err() == nil && l.listHosts(ctx) != nil {
+	for ctx.Err() == nil && l.listHosts(ctx, false) != nil {
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, max(retryMax, awayPause(l.node.table.Len())))
 	}
 }
 
-// readHosts reads the records of all hosts at every interval.
+// readHosts reads the records of all hosts at every interval. After the first time
+// they may be some seconds old: changes are told sooner by watches and peers.
 func (l *lead) readHosts(ctx context.Context) {
+	isFirst := true
 	l.repeatReached(ctx, hostsInterval, func() error {
 		if l.listedLately() {
 			return nil
 		}
-		return l.listHosts(ctx)
+		err := l.listHosts(ctx, !isFirst)
+		isFirst = isFirst && err != nil
+		return err
 	})
 }
 
@@ -298,12 +302,12 @@
 	return !l.listedAt.IsZero() && time.Since(l.listedAt) < hostsInterval/2
 }
 
-func (l *lead) listHosts(ctx context.Context) error {
-	entries, revision, err := l.node.store().Hosts(ctx)
+func (l *lead) listHosts(ctx context.Context, mayBeStale bool) error {
+	entries, revision, err := l.node.store().Hosts(ctx, mayBeStale)
 	if err != nil {
 		return err
 	}
-	l.node.takeAll(entries)
+	l.node.takeAll(entries, revision)
 	l.mu.Lock()
 	l.hostsRevision = max(l.hostsRevision, revision)
 	l.listedAt = time.Now()
@@ -322,7 +326,7 @@
 		}
 		entries, next, err := l.node.store().WatchHosts(ctx, revision, watchWait)
 		if errors.Is(err, platform.ErrCompacted) {
-			return l.listHosts(ctx)
+			return l.listHosts(ctx, false)
 		}
 		if err != nil {
 			return err
@@ -336,12 +340,12 @@
 }
 
 // repeat calls step at every interval, and with growing pauses while it fails.
-func (l *lead) repeat(ctx context.Context, interval, longest time.Duration, step func() error) {
+func (l *lead) repeat(ctx context.Context, interval time.Duration, longest func() time.Duration, step func() error) {
 	pause := retryMin
 	for ctx.Err() == nil {
 		if err := step(); err != nil {
 			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, max(retryMax, longest))
+			pause = min(2*pause, max(retryMax, longest()))
 			continue
 		}
 		pause = retryMin
@@ -352,7 +356,7 @@
 // repeatReached is repeat for what waits while the store does not answer: one
 // reader finds out when it does again.
 func (l *lead) repeatReached(ctx context.Context, interval time.Duration, step func() error) {
-	l.repeat(ctx, interval, retryMax, func() error {
+	l.repeat(ctx, interval, func() time.Duration { return retryMax }, func() error {
 		for ctx.Err() == nil && !l.fresh(time.Now()) {
 			sleep(ctx, lookInterval)
 		}
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -146,6 +147,12 @@
 		Pool:     h1.NewPool(s.Upstream.Address, n.observer.opened.Inc),
 		Poisoned: n.poisoned,
 		Crashed:  n.crashed,
+		Revived: func(u fleet.Upstream) {
+			n.log.Emit(event.UpstreamRevived, event.F("upstream", u.ID), event.F("born", u.Born))
+		},
+		Halved: func(route string, mean time.Duration) {
+			n.log.Emit(event.RouteMeanHalved, event.F("route", route), event.F("meanMs", mean.Milliseconds()))
+		},
 		Observe: func(c *link.Call, a *link.Answer, t intake.Times) {
 			if a.Outcome == link.Ran && a.Status < 500 {
 				n.suspects.Cleared(c.Fingerprint)
@@ -172,6 +179,13 @@
 		Poisoned:   n.poisoned,
 		Observe:    n.observer.request,
 		Repeated:   n.observer.repeated,
+		Silent: func(node string, share float64, avoided bool) {
+			e := event.UpstreamAnswers
+			if avoided {
+				e = event.UpstreamSilent
+			}
+			n.log.Emit(e, event.F("host", node), event.F("withoutAnswer", math.Round(100*share)/100))
+		},
 	})
 }
 
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -18,19 +18,20 @@
 	removeAfter = 15 * time.Second
 )
 
-// takeAll takes in a whole list: what is not in it has been removed.
-func (n *Node) takeAll(entries []platform.HostEntry) {
+// takeAll takes in a whole list of a revision: what is not in it, and was there
+// before, has been removed.
+func (n *Node) takeAll(entries []platform.HostEntry, listed uint64) {
 	self := n.settings.Load().Node.ID
-	listed := make(map[string]bool, len(entries))
+	has := make(map[string]bool, len(entries))
 	for i := range entries {
-		listed[entries[i].Name] = true
+		has[entries[i].Name] = true
 	}
-	if !listed[self] {
+	if !has[self] {
 		n.record.learn(nil)
 	}
 	n.mu.Lock()
 	for name, revision := range n.revisions {
-		if !listed[name] && name != self {
+		if !has[name] && name != self && revision <= listed {
 			entries = append(entries, platform.HostEntry{Name: name, Revision: revision, Deleted: true})
 		}
 	}
@@ -60,7 +61,7 @@
 			}
 		default:
 			n.mu.Lock()
-			n.revisions[e.Name] = e.Revision
+			n.revisions[e.Name] = max(n.revisions[e.Name], e.Revision)
 			n.mu.Unlock()
 			if n.merge(e.Host, "store") {
 				news.Hosts = append(news.Hosts, e.Host)
--- a/pkg/host/hosts_test.go
+++ b/pkg/host/hosts_test.go
@@ -1,11 +1,15 @@
 package host_test
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
 	"github.com/tarragondrum/tarragondrum/platform"
 )
 
@@ -19,7 +23,7 @@
 		store := platform.NewStore(c.mesh.StoreAddress, func(string, string) {})
 		t.Cleanup(store.Close)
 		name := c.hosts[victim].Name
-		entries, _, err := store.Hosts(t.Context())
+		entries, _, err := store.Hosts(t.Context(), false)
 		is.NoErr(err)
 		for _, e := range entries {
 			if e.Name == name {
@@ -35,3 +39,35 @@
 		}
 	}
 }
+
+// Lists that are seconds old take nothing away that has come since, and bring
+// nothing back that has gone.
+func TestOldListsDoNoHarm(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	c.store.SetStale(true) // lists that may be old are of this time from now on
+	third, err := c.mesh.Add(localmesh.Service{Name: "desk", Slots: slots})
+	is.NoErr(err)
+	is.NoErr(third.Start())
+	c.await((*localmesh.Mesh).WaitKnown)
+	gone := c.hosts[1]
+	is.NoErr(gone.Upstream.Remove(gone.Announce()))
+	gone.StopBeating()
+	gone.Node.Stop() // which takes its entry away
+	const longerThanALead = 10 * time.Second
+	for end := time.Now().Add(longerThanALead); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		hosts := c.hosts[0].Node.Handover().Hosts
+		if hosts["ready"] != 2 || hosts["gone"]+hosts["stopping"] > 1 {
+			t.Fatalf("hosts are %v", hosts)
+		}
+	}
+	for i := range 10 {
+		is.Equal(c.get(c.hosts[0], "/desk/x", fmt.Sprint("stale-", i)).status, http.StatusOK)
+	}
+	is.True(c.store.StaleLists() > 0)
+	for _, line := range strings.Split(c.hosts[0].log.String(), "\n") {
+		if strings.Contains(line, `"host-removed"`) && strings.Contains(line, third.Name) {
+			t.Fatalf("a host that lives was taken away: %s", line)
+		}
+	}
+}
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -102,7 +102,7 @@
 			n.store().Close()
 			return nil
 		}},
-		&part{name: peersName, needs: []string{storeName}, open: func() error { return n.peers.listen(s.PeerAddress()) }, close: func(context.Context) error {
+		&part{name: peersName, needs: []string{storeName}, open: func() error { return n.peers.listen(s.PeerListener()) }, close: func(context.Context) error {
 			n.peers.close()
 			return n.peers.server.Close()
 		}},
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -45,6 +45,9 @@
 		// Announce takes the heartbeats of the upstream.
 		Announce string `json:"announce"`
 		PeerPort int    `json:"peerPort"`
+		// PeerAdvertised is the port at which other nodes reach this one, where a relay
+		// stands before it; 0 stands for PeerPort.
+		PeerAdvertised int `json:"peerAdvertised"`
 		// MetricsPort is fixed by the deploy file.
 		MetricsPort int `json:"metricsPort"`
 	} `json:"listen"`
@@ -90,8 +93,17 @@
 	return time.Duration(s.Bounds.RetryWindowS * float64(time.Second))
 }
 
-// PeerAddress is the address of the listener for other nodes.
-func (s *Settings) PeerAddress() string { return fmt.Sprintf("%s:%d", s.Node.IP, s.Listen.PeerPort) }
+// PeerListener is the address of the listener for other nodes.
+func (s *Settings) PeerListener() string { return fmt.Sprintf("%s:%d", s.Node.IP, s.Listen.PeerPort) }
+
+// PeerAddress is the address at which other nodes reach this one.
+func (s *Settings) PeerAddress() string {
+	port := s.Listen.PeerPort
+	if s.Listen.PeerAdvertised != 0 {
+		port = s.Listen.PeerAdvertised
+	}
+	return fmt.Sprintf("%s:%d", s.Node.IP, port)
+}
 
 // MetricsAddress is the address of the metrics listener.
 func (s *Settings) MetricsAddress() string {
@@ -159,6 +171,9 @@
 			fault(key, value, "more than 0")
 		}
 	}
+	if s.Listen.PeerAdvertised < 0 {
+		fault("listen.peerAdvertised", s.Listen.PeerAdvertised, "a port, or 0 for that of peerPort")
+	}
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		fault("bounds.retryRatio and bounds.retrySlack", fmt.Sprint(s.Bounds.RetryRatio, ", ", s.Bounds.RetrySlack), "0 or more")
 	}
--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -47,6 +47,7 @@
 	is.NoErr(err)
 	is.Equal(s.Node.ID, "sidecar-a-1")
 	is.Equal(s.PeerAddress(), "10.1.0.35:7660")
+	is.Equal(s.PeerListener(), "10.1.0.35:7660")
 	is.Equal(s.MetricsAddress(), "10.1.0.35:9464")
 	is.Equal(s.Grace().Seconds(), 6.0)
 	is.Equal(s.Bounds.RetrySlack, 64.0)
@@ -88,6 +89,10 @@
 	_, err = with(`"operators": [` + operator + `,` + operator + `]`)
 	is.True(errors.Is(err, hostconf.ErrInvalid))
 	is.True(strings.Contains(err.Error(), "operators[1]"))
+	s, err = hostconf.Parse([]byte(strings.Replace(fill(t), `"peerPort":`, `"peerAdvertised": 7000, "peerPort":`, 1)))
+	is.NoErr(err)
+	is.Equal(s.PeerListener(), "10.1.0.35:7660")
+	is.Equal(s.PeerAddress(), "10.1.0.35:7000")
 	_, err = with(`"peers": {"certFile": "c"}`)
 	is.True(errors.Is(err, hostconf.ErrInvalid))
 }
--- a/pkg/intake/queue.go
+++ b/pkg/intake/queue.go
@@ -79,6 +79,9 @@
 	// Reason and RetryAfter are set for refused requests.
 	Reason     Reason
 	RetryAfter time.Duration
+	// Halved is the new mean time of the route where it was halved, as it alone ruled
+	// the request out.
+	Halved time.Duration
 }
 
 // Grant ends the wait of a request.
@@ -210,10 +213,11 @@
 		return Verdict{Reason: Full, RetryAfter: q.advice(wait)}
 	}
 	if !q.mayWait(now, &w, wait) {
+		v := Verdict{Reason: TooLate, RetryAfter: min(q.advice(wait), q.spare(now, &w))}
 		if w.late {
-			q.forget(now, r.Route)
+			v.Halved = q.forget(now, r.Route)
 		}
-		return Verdict{Reason: TooLate, RetryAfter: min(q.advice(wait), q.spare(now, &w))}
+		return v
 	}
 	i := sort.Search(len(q.waiting), func(i int) bool { return !q.waiting[i].before(&w) })
 	q.waiting = append(q.waiting, waiting{})
@@ -263,11 +267,15 @@
 	return min(work, behind*turn) / time.Duration(q.slots)
 }
 
-// forget halves the mean time of a route that has brought no answer lately.
-func (q *Queue) forget(now time.Time, route string) {
-	if m, known := q.means[route]; known && now.Sub(m.changed) >= forgetAfter {
-		q.means[route] = routeMean{m.Duration / 2, now}
+// forget halves the mean time of a route that has brought no answer lately, and
+// returns the new one, 0 where it stays.
+func (q *Queue) forget(now time.Time, route string) time.Duration {
+	m, known := q.means[route]
+	if !known || now.Sub(m.changed) < forgetAfter {
+		return 0
 	}
+	q.means[route] = routeMean{m.Duration / 2, now}
+	return m.Duration / 2
 }
 
 func (q *Queue) needOf(route string, share float64) time.Duration {
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -41,6 +41,11 @@
 	Poisoned func(fingerprint uint64) bool
 	// Crashed is told of the requests that ran when the upstream crashed.
 	Crashed func(fingerprints []uint64, u fleet.Upstream)
+	// Revived is told that an upstream that had crashed answers again.
+	Revived func(u fleet.Upstream)
+	// Halved is told of a route whose mean time was halved, as it alone ruled its
+	// requests out.
+	Halved func(route string, mean time.Duration)
 	// Observe is told how each request ended here.
 	Observe func(c *link.Call, a *link.Answer, t Times)
 }
@@ -193,6 +198,9 @@
 	}
 	if !v.Wait {
 		s.mu.Unlock()
+		if v.Halved > 0 {
+			s.options.Halved(c.Route, v.Halved)
+		}
 		return 0, fleet.Upstream{}, refuse(string(v.Reason), v.RetryAfter)
 	}
 	granted := make(chan Grant, 1)
@@ -260,8 +268,9 @@
 // failingWeight is the weight of the newest request in the share that fails.
 const failingWeight = 0.08
 
-// end gives the slot of a request back.
-func (s *Service) end(id uint64, good bool) {
+// end gives the slot of a request back, and reports whether its good end shows that
+// an upstream that had crashed is back.
+func (s *Service) end(id uint64, good bool) (revived bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, id)
@@ -269,10 +278,11 @@
 	target := 1.0
 	if good {
 		target = 0
-		s.dead = false
+		revived, s.dead = s.dead, false
 	}
 	s.failing += failingWeight * (target - s.failing)
 	s.deliver(s.queue.Next(time.Now(), nil))
+	return revived
 }
 
 // run sends the request to the upstream.
@@ -289,7 +299,9 @@
 		s.checkCrash(u, id, failure.Sent)
 	}
 	good := a.Outcome == link.Ran && a.Status < http.StatusInternalServerError
-	s.end(id, good)
+	if s.end(id, good) {
+		s.options.Revived(u)
+	}
 	return a
 }
 
--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	reports  int
 	suspects int
+	revivals int
 }
 
 func newService(address string, seen *crashes) *intake.Service {
@@ -34,6 +35,12 @@
 			seen.reports++
 			seen.suspects += len(fingerprints)
 		},
+		Revived: func(fleet.Upstream) {
+			seen.mu.Lock()
+			defer seen.mu.Unlock()
+			seen.revivals++
+		},
+		Halved:  func(string, time.Duration) {},
 		Observe: func(*link.Call, *link.Answer, intake.Times) {},
 	})
 }
@@ -84,4 +91,5 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.True(s.Handle(context.Background(), call(1)).Load.Failing < 1)
+	is.Equal(seen.revivals, 1)
 }
--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -36,10 +36,10 @@
 }
 
 // process is one host: its node as a separate process, its upstream, and the
-// relay between them.
+// relays between them and between other nodes and this one.
 type process struct {
 	name, ip, service, settings, store string
-	relay                              *relay
+	relay, link                        *relay
 	log                                *os.File
 
 	busy     sync.Mutex // held while the process is restarted
@@ -90,13 +90,18 @@
 		m.t.Fatal(err)
 	}
 	m.t.Cleanup(p.relay.close)
+	if p.link, err = newRelay(p.ip + ":7100"); err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(p.link.close)
+	p.link.setTarget(p.ip + ":7101")
 	m.replace(p)
 	dir := m.t.TempDir()
 	p.settings = filepath.Join(dir, "host.jsonc")
 	text := fmt.Sprintf(`{
   "node": {"id": %q, "dataCentre": "dc-%d", "region": "r", "ip": %q, "memoryMB": 256, "cpuShare": 0.3, "linkMbps": 1000},
   "upstream": {"address": "%s:9001", "service": %q},
-  "listen": {"outbound": "%s:8081", "ready": "%s:8083", "announce": "%s:8082", "peerPort": 7100, "metricsPort": 9464},
+  "listen": {"outbound": "%s:8081", "ready": "%s:8083", "announce": "%s:8082", "peerPort": 7101, "peerAdvertised": 7100, "metricsPort": 9464},
   "store": {"address": %q},
   "bounds": {"graceS": 6, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64},
 }`, p.name, i%2, p.ip, p.ip, p.service, p.ip, p.ip, p.ip, p.store)
@@ -350,6 +355,24 @@
 	}
 }
 
+// mute loses what comes in for a while, in one direction or both, and then breaks
+// the connections: what was lost is not sent again on them.
+func (r *relay) mute(up, down bool, d time.Duration) {
+	r.muteUp.Store(up)
+	r.muteDown.Store(down)
+	time.Sleep(d)
+	r.muteUp.Store(false)
+	r.muteDown.Store(false)
+	r.reset()
+}
+
+// slow delays each part for a while.
+func (r *relay) slow(by, d time.Duration) {
+	r.delay.Store(int64(by))
+	time.Sleep(d)
+	r.delay.Store(0)
+}
+
 // reset breaks every connection.
 func (r *relay) reset() {
 	r.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -116,7 +116,7 @@
 	p := m.hosts[random.IntN(len(m.hosts))]
 	span := time.Duration(200+random.IntN(1800)) * time.Millisecond
 	share := random.IntN(3)
-	switch random.IntN(11) {
+	switch random.IntN(14) {
 	case 0:
 		return func() { m.signal(p, syscall.SIGSTOP); time.Sleep(span); m.signal(p, syscall.SIGCONT) }
 	case 1:
@@ -150,16 +150,16 @@
 	case 7:
 		return func() { p.relay.reset() }
 	case 8:
-		return func() {
-			p.relay.muteUp.Store(share != 0)
-			p.relay.muteDown.Store(share != 1)
-			time.Sleep(span / 2)
-			p.relay.muteUp.Store(false)
-			p.relay.muteDown.Store(false)
-			p.relay.reset() // what was lost is not sent again on these
-		}
+		return func() { p.relay.mute(share != 0, share != 1, span/2) }
 	case 9:
 		return func() { m.leave(p) }
+	case 10:
+		return p.link.reset
+	case 11:
+		return func() { p.link.mute(share != 0, share != 1, span) }
+	case 12:
+		by := time.Duration(20+random.IntN(200)) * time.Millisecond
+		return func() { p.link.slow(by, span) }
 	}
 	return func() { m.nextVersion() }
 }
