--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -280,26 +280,24 @@
 	}
 }
 
-// readHosts reads the records of all hosts at every interval. After the first time
-// they may be some seconds old: changes are told sooner by watches and peers.
+// readHosts reads the records of all hosts at every interval. They may be some
+// seconds old where this node has read them lately: changes are told sooner by
+// watches and peers.
 func (l *lead) readHosts(ctx context.Context) {
-	isFirst := true
 	l.repeatReached(ctx, hostsInterval, func() error {
-		if l.listedLately() {
-			return nil
+		since := l.sinceListed()
+		if since < hostsInterval/2 {
+			return nil // as a node that has just started
 		}
-		err := l.listHosts(ctx, !isFirst)
-		isFirst = isFirst && err != nil
-		return err
+		return l.listHosts(ctx, since < 2*hostsInterval)
 	})
 }
 
-// listedLately reports whether the records were read less than half of the
-// interval ago, as by a node that has just started.
-func (l *lead) listedLately() bool {
+// sinceListed returns how long ago the records of all hosts were read.
+func (l *lead) sinceListed() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.listedAt.IsZero() && time.Since(l.listedAt) < hostsInterval/2
+	return time.Since(l.listedAt)
 }
 
 func (l *lead) listHosts(ctx context.Context, mayBeStale bool) error {
