Tell the loser of two sign-offs of one bundle who won

Change: a claim that the bundle's state does not permit is followed by a look at the head; another version there is a conflict, with its winner (TestLoserOfTheSameBundleIsToldWhoWon, which failed before). A test holds that paths are matched and passed on byte for byte, which they were.

Nothing that a node does has changed.

--- a/pkg/host/host_test.go
+++ b/pkg/host/host_test.go
@@ -37,6 +37,10 @@
 	is.Equal(c.seen("order-1")[0].Body, "two pallets")
 	is.Equal(c.get(c.hosts[0], "/unknown/x", "none").status, http.StatusNotFound)
 	is.Equal(len(c.seen("none")), 0)
+	// Paths are matched and passed on byte for byte.
+	is.Equal(c.get(c.hosts[0], "/desk%2fx", "escaped").status, http.StatusNotFound)
+	is.Equal(c.get(c.hosts[0], "/ledger/a%2fb%20c", "kept").status, http.StatusOK)
+	is.Equal(c.seen("kept")[0].Path, "/ledger/a%2fb%20c")
 }
 
 // Pipelined requests run at the same time and are answered in their order.
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -102,7 +102,7 @@
 	}
 	m, err := bundlestore.Claim(ctx, store, r.Bundle, a.Version, r.Again)
 	if err != nil {
-		return bundle.Acceptance{}, err
+		return bundle.Acceptance{}, claimError(ctx, store, r.Expect, err)
 	}
 	b, err := load(ctx, store, r.Bundle)
 	if err != nil {
@@ -127,6 +127,22 @@
 	return a, err
 }
 
+// claimError says why a bundle could not be claimed. Where another version has come
+// into force since the head was read, that is the reason.
+func claimError(ctx context.Context, store objects.Store, expect model.Version, claim error) error {
+	if !errors.Is(claim, bundlestore.ErrState) {
+		return claim
+	}
+	head, _, err := bundlestore.ReadHead(ctx, store)
+	if err != nil {
+		return errors.Join(claim, err)
+	}
+	if head.Acceptance.Version != expect {
+		return &ConflictError{Expected: expect, Winner: head.Acceptance}
+	}
+	return claim
+}
+
 // load reads the whole bundle and applies the rules that hold for it.
 func load(ctx context.Context, store objects.Store, id bundle.ID) (bundle.Bundle, error) {
 	b, err := bundlestore.Load(ctx, store, id)
--- a/pkg/signoff/signoff_test.go
+++ b/pkg/signoff/signoff_test.go
@@ -102,6 +102,28 @@
 	}
 }
 
+// Another operator signs the same bundle off after the head was read and before it
+// is claimed: the loser is told who won, not that the bundle is in another state.
+func TestLoserOfTheSameBundleIsToldWhoWon(t *testing.T) {
+	is := is.New(t)
+	store := fake.New()
+	id := prepare(t, store, "one")
+	isFirst := true
+	crossing := &bundletest.HookedStore{Store: store, Before: func(key objects.Key) error {
+		if key.Collection == objects.CollectionBundles && isFirst {
+			isFirst = false
+			_, err := signoff.Accept(t.Context(), store, request(id, 0, "mihai"))
+			is.NoErr(err)
+		}
+		return nil
+	}}
+	_, err := signoff.Accept(t.Context(), crossing, request(id, 0, "ioana"))
+	var conflict *signoff.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Winner.Acceptor, "mihai")
+	is.Equal(conflict.Winner.Version, model.Version(1))
+}
+
 // headStore lets a test act around the first update of the head.
 type headStore struct {
 	*fake.Store
