Overtake a removal once, whatever the clock says

A host whose clock stepped back since its entry was taken away has a lower incarnation than the removal. Its record was refused by all, each said so, and each word made it change its record once more, which was refused again: without end.

Change: the record takes the incarnation and the change of the removal and goes one further (TestRemovalOfALaterLifeIsOvertakenOnce, which failed before). A constant and two comments were made plainer.

--- a/pkg/bench/rollout/rollout.go
+++ b/pkg/bench/rollout/rollout.go
@@ -30,9 +30,8 @@
 	restTime   = 10 * time.Second
 	// pollInterval is the time between two looks at a node's version.
 	pollInterval = 2 * time.Millisecond
-	// pauseTime lies between two changes, about four times the mean pause of the
-	// stated 4,800 changes a day divided by twenty, so that reads are hit at any
-	// place in their interval.
+	// pauseTime lies between two changes. It is no multiple of the time between two
+	// reads of a lead, so that changes fall anywhere between them.
 	pauseTime = 1300 * time.Millisecond
 	// firstBlock is the second number of the loopback addresses of the first mesh.
 	firstBlock = 70
@@ -85,7 +84,7 @@
 	return report, report.check()
 }
 
-// mesh is a running mesh with the calls that its store has got.
+// mesh is a running mesh.
 type mesh struct {
 	*localmesh.Mesh
 	routes int
--- a/pkg/bundle/compile.go
+++ b/pkg/bundle/compile.go
@@ -7,12 +7,9 @@
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
-const (
-	// targetNumerator and targetDenominator are the part of the timeout that is the
-	// target of a route without one, as in the users' deployments.
-	targetNumerator, targetDenominator = 2, 5
-	millisecond                        = time.Millisecond
-)
+// targetNumerator and targetDenominator are the part of the timeout that is the
+// target of a route without one, as in the users' deployments.
+const targetNumerator, targetDenominator = 2, 5
 
 // Config returns the configuration that nodes put in force for a valid bundle.
 func (b *Bundle) Config(v model.Version) meshconf.Config {
@@ -52,7 +49,7 @@
 	}
 	target := r.Target.Std()
 	if target == 0 {
-		target = max(timeout.Std()*targetNumerator/targetDenominator, millisecond).Truncate(millisecond)
+		target = max(timeout.Std()*targetNumerator/targetDenominator, time.Millisecond).Truncate(time.Millisecond)
 	}
 	return meshconf.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Parts: parts,
--- a/pkg/host/peers_test.go
+++ b/pkg/host/peers_test.go
@@ -70,3 +70,26 @@
 	}
 	is.True(asked >= 2)
 }
+
+// A host whose clock stepped back since its entry was taken away is refused by all
+// until its record is newer than the removal. One word is enough for that, however
+// many nodes say it: otherwise each change would bring the next word.
+func TestRemovalOfALaterLifeIsOvertakenOnce(t *testing.T) {
+	is := is.New(t)
+	n := newPlainNode(t)
+	n.record.mu.Lock()
+	n.record.update(func(h *fleet.Host) {
+		h.Upstream = fleet.Upstream{ID: "u", Service: "desk", Slots: 1, Born: 1, State: fleet.StateReady}
+	})
+	n.record.mu.Unlock()
+	removal := fleet.Removal{Node: "a", Incarnation: n.record.incarnation() + 5000, Change: 7}
+	n.remove(removal, "peer b")
+	first := n.record.current()
+	is.True(!removal.Covers(&first))
+	n.remove(removal, "peer c")
+	is.Equal(n.record.current(), first)
+
+	others := fleet.NewTable()
+	is.True(!others.Remove(removal)) // it was not known, and is remembered
+	is.True(others.Merge(first))
+}
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -192,14 +192,20 @@
 	r.adopt(entry.Host)
 }
 
-// restore writes the record anew after a peer said that it was taken away. The
-// store's entry is gone then, which the next write finds.
+// restore writes the record anew after a peer said that it was taken away, so that
+// it is newer than the removal. The store's entry is gone then, which the next
+// write finds.
 func (r *record) restore(removal *fleet.Removal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if removal.Covers(&r.host) && r.isAnnounced() {
-		r.update(func(*fleet.Host) {})
+	if !removal.Covers(&r.host) || !r.isAnnounced() {
+		return
 	}
+	r.update(func(h *fleet.Host) {
+		// The clock of this host may have stepped back since the removed record.
+		h.Incarnation = max(h.Incarnation, removal.Incarnation)
+		h.Change = max(h.Change, removal.Change)
+	})
 }
 
 // isAnnounced reports whether others should know of the upstream. The caller
