Read routes of the kind download, and report kinds that are not known

Cause: a route of the kind download made nodes refuse the whole configuration (event 541), so that the film lab's mesh served nothing.

Change: download is idempotent with large answers. A configuration without limits gets the plain ones in place of zero times.

--- a/pkg/host/config_test.go
+++ b/pkg/host/config_test.go
@@ -93,6 +93,18 @@
 	is.Equal(seen[len(seen)-1].ID, "kept")
 }
 
+// A route of an unknown kind is reported, and the others come into force with it.
+func TestUnknownKindKeepsNothingBack(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	c.store.Put("config", "main", []byte(`{"version":"00000009","routes":{`+
+		`"odd":{"host":"a.example","pathPrefix":"/odd/","kind":"job","timeoutMs":900,"service":"desk","maxAttempts":2},`+
+		`"plain":{"host":"a.example","pathPrefix":"/plain/","kind":"idempotent","timeoutMs":900,"service":"desk","maxAttempts":2}},"services":{"desk":{}}}`))
+	c.eventually("reported", func() bool { return strings.Contains(c.hosts[0].log.String(), "route-kind-unknown") })
+	is.Equal(c.get(c.hosts[0], "/plain/x", "plain").status, http.StatusOK)
+	is.Equal(c.get(c.hosts[0], "/odd/x", "odd").status, http.StatusOK)
+}
+
 // In a small fleet one node reads the store for all, in whichever data centre they
 // are.
 func TestOneNodeReadsTheStoreAtRest(t *testing.T) {
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -7,6 +7,7 @@
 package host
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -37,7 +38,8 @@
 	// bodies of requests in hand.
 	memoryShare = 0.6
 	bodyShare   = 0.2
-	// maxPlainHeader and maxPlainBody are the limits before a configuration is known.
+	// maxPlainHeader and the next three are the limits before a configuration is known,
+	// and of one that leaves them out.
 	maxPlainHeader = 16 << 10
 	maxPlainBody   = 1 << 20
 	plainTimeout   = 3 * time.Second
@@ -223,13 +225,18 @@
 	}
 }
 
+// limits returns the limits in force. A configuration may leave some out.
 func (n *Node) limits() h1.Limits {
+	plain := h1.Limits{HeaderBytes: maxPlainHeader, BodyBytes: maxPlainBody, HeaderTimeout: plainTimeout, IdleTimeout: plainIdle}
 	s := n.config.Current()
 	if s == nil {
-		return h1.Limits{HeaderBytes: maxPlainHeader, BodyBytes: maxPlainBody, HeaderTimeout: plainTimeout, IdleTimeout: plainIdle}
+		return plain
 	}
 	l := s.Limits
-	return h1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return h1.Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, plain.HeaderBytes), BodyBytes: cmp.Or(l.BodyBytes, plain.BodyBytes),
+		HeaderTimeout: cmp.Or(l.HeaderTimeout, plain.HeaderTimeout), IdleTimeout: cmp.Or(l.IdleTimeout, plain.IdleTimeout),
+	}
 }
 
 // Version returns the version in force, or 0.
@@ -263,10 +270,27 @@
 	n.refused.Store(nil)
 	n.log.Emit(event.ConfigApplied, event.F("version", s.Version), event.F("before", before), event.F("revision", revision),
 		event.F("routes", len(s.Routes)), event.F("source", source))
+	n.reportKinds(s)
 	n.peers.broadcast(&link.News{ConfigVersion: s.Version})
 	return true
 }
 
+// maxKindLines bounds the log lines about unknown kinds of one version; the counter
+// has them all.
+const maxKindLines = 10
+
+// reportKinds reports the routes whose kind is not known.
+func (n *Node) reportKinds(s *meshconf.Snapshot) {
+	n.observer.unknownKinds.Add(float64(len(s.UnknownKinds)))
+	for i, k := range s.UnknownKinds {
+		if i == maxKindLines {
+			return
+		}
+		n.log.Emit(event.RouteKindUnknown, event.F("version", s.Version), event.F("route", k.Route), event.F("kind", k.Kind),
+			event.F("routes", len(s.UnknownKinds)))
+	}
+}
+
 // refuseConfig notes that a configuration is not put in force.
 func (n *Node) refuseConfig(revision uint64, source string, err error) {
 	n.refused.Store(&handover.Refusal{Time: time.Now().UTC(), Revision: revision, Source: source, Error: err.Error()})
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -36,21 +36,24 @@
 	opened    prometheus.Counter
 	seconds   *prometheus.HistogramVec
 	waits     *prometheus.HistogramVec
+	// unknownKinds counts the routes of each version whose kind is not known.
+	unknownKinds prometheus.Counter
 }
 
 func newObserver(r *metric.Registry, log *event.Log) *observer {
 	return &observer{
-		log:       log,
-		successes: rate.NewLimiter(successLines, successLines),
-		failures:  rate.NewLimiter(failureLines, failureLines),
-		skipped:   metric.Counter(r, "log_lines_skipped_total", "Log lines of requests that were left out to bound their rate.").WithLabelValues(),
-		answers:   metric.Counter(r, "requests_total", "Final answers to callers, by route, outcome, status and reason.", "route", "outcome", "status", "reason"),
-		retries:   metric.Counter(r, "request_retries_total", "Tries without an answer, by reason, by what followed, and by whether it was allowed.", "reason", "next", "allowed"),
-		intake:    metric.Counter(r, "intake_total", "Calls to the upstream of this host, by outcome and reason.", "outcome", "reason"),
-		store:     metric.Counter(r, "store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome"),
-		opened:    metric.Counter(r, "upstream_connections_total", "Connections opened to the upstream of this host.").WithLabelValues(),
-		seconds:   metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
-		waits:     metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
+		log:          log,
+		successes:    rate.NewLimiter(successLines, successLines),
+		failures:     rate.NewLimiter(failureLines, failureLines),
+		skipped:      metric.Counter(r, "log_lines_skipped_total", "Log lines of requests that were left out to bound their rate.").WithLabelValues(),
+		answers:      metric.Counter(r, "requests_total", "Final answers to callers, by route, outcome, status and reason.", "route", "outcome", "status", "reason"),
+		retries:      metric.Counter(r, "request_retries_total", "Tries without an answer, by reason, by what followed, and by whether it was allowed.", "reason", "next", "allowed"),
+		intake:       metric.Counter(r, "intake_total", "Calls to the upstream of this host, by outcome and reason.", "outcome", "reason"),
+		store:        metric.Counter(r, "store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome"),
+		opened:       metric.Counter(r, "upstream_connections_total", "Connections opened to the upstream of this host.").WithLabelValues(),
+		seconds:      metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
+		unknownKinds: metric.Counter(r, "unknown_route_kinds_total", "Routes of a kind that is not known, in all versions put in force.").WithLabelValues(),
+		waits:        metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
 	}
 }
 
--- a/pkg/meshconf/meshconf.go
+++ b/pkg/meshconf/meshconf.go
@@ -35,6 +35,8 @@
 	Parts []Part
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// LargeAnswers tells that answers may fill a link for a while.
+	LargeAnswers bool `json:",omitempty"` // digests of routes without it stay
 	// MaxAttempts bounds the upstreams that one request is sent to.
 	MaxAttempts int
 	// Timeout is the longest time that a request is kept waiting.
@@ -45,6 +47,12 @@
 	Priority int
 }
 
+// RouteKind is a route's kind in the document that it was decoded from.
+type RouteKind struct {
+	Route string
+	Kind  string
+}
+
 // Service is one service that routes point at. The nodes use its name only.
 type Service struct {
 	Name string
@@ -67,6 +75,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// UnknownKinds are the routes whose kind the decoder does not know.
+	UnknownKinds []RouteKind `json:",omitempty"`
 }
 
 // Digest returns a hash of the whole configuration, which does not depend on the
