Tell each other along a tree in large fleets, and use subsets of upstreams

Later each node called each of 171 upstreams every 20 s and dialled it anew each time, as connections were closed after 15 s. Every log line was a write of its own.

Change: in fleets of more than 32 hosts every node connects to the first node of its data centre by machine size, and the first ones to each other (pkg/fleet/tree.go). Announcements, records, removals and crashes go along these connections, once; tables are compared by digests, and a node that missed something gets the table and tells what the other missed. The first nodes become leads before others. Calls go to ten upstreams of the own data centre and two of each other one, which spread evenly (subset.go). Tables are rebuilt once for many records; log lines go out together; settings are parsed only when they changed.

Store calls at the start remain.

--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -39,7 +39,7 @@
 // candidates returns the usable hosts of the request's service.
 func (s *Service) candidates(r *request) ([]fleet.Host, []Candidate, Origin) {
 	now := time.Now()
-	hosts := s.options.Table.Usable(r.service)
+	hosts := s.near(r.service)
 	candidates := make([]Candidate, 0, len(hosts))
 	s.mu.Lock()
 	origin := Origin{
@@ -56,6 +56,50 @@
 	return hosts, candidates, origin
 }
 
+// subsetFrom is the number of upstreams of a service from which on a node uses a
+// subset of them.
+const subsetFrom = 32
+
+// ring is the order in which this node uses the hosts of a service, for one generation
+// of the table.
+type ring struct {
+	fleet.Ring
+	generation uint64
+}
+
+// near returns the hosts of a service that this node chooses from: all of a few, and
+// otherwise a subset of those that it can reach and that do not fail.
+func (s *Service) near(service string) []fleet.Host {
+	generation := s.options.Table.Generation()
+	usable := s.options.Table.Usable(service)
+	if len(usable) <= subsetFrom {
+		return usable
+	}
+	s.mu.Lock()
+	current := s.rings[service]
+	s.mu.Unlock()
+	if current == nil || current.generation != generation {
+		current = &ring{fleet.NewRing(s.options.Node, s.options.DataCentre, s.options.Table.All(), usable), generation}
+		s.mu.Lock()
+		s.rings[service] = current
+		s.mu.Unlock()
+	}
+	now := time.Now()
+	return current.Choose(func(node string) bool { return s.options.Reachable(node) && !s.failing(node, now) })
+}
+
+// failing reports whether most requests to a node fail.
+func (s *Service) failing(node string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[node]
+	if e == nil {
+		return false
+	}
+	c := e.candidate(now)
+	return c.failing() > avoidFailing
+}
+
 func hostAt(hosts []fleet.Host, i int) (fleet.Host, bool) {
 	if i < 0 {
 		return fleet.Host{}, false
@@ -65,16 +109,22 @@
 
 // candidate describes a host for Choose. The caller holds mu.
 func (s *Service) candidate(h *fleet.Host, now time.Time) Candidate {
-	c := Candidate{
-		Node: h.Node, DataCentre: h.DataCentre, Region: h.Region, Slots: h.Upstream.Slots,
-		Cold: h.Upstream.WarmAtUnixMs > now.UnixMilli(), ReportAge: -1,
-	}
-	if e := s.endpoints[h.Node]; e != nil {
-		c.InFlight, c.Silent = e.inFlight, e.silence.Share(now)
-		if !e.reportAt.IsZero() {
-			c.Report, c.ReportAge, c.InFlightThen = e.report, now.Sub(e.reportAt), e.inFlightThen
-			c.LargeSince = max(0, e.large-e.largeThen)
-		}
+	c := s.endpoints[h.Node].candidate(now)
+	c.Node, c.DataCentre, c.Region, c.Slots = h.Node, h.DataCentre, h.Region, h.Upstream.Slots
+	c.Cold = h.Upstream.WarmAtUnixMs > now.UnixMilli()
+	return c
+}
+
+// candidate is what this node saw of an upstream, nothing if e is nil.
+func (e *endpoint) candidate(now time.Time) Candidate {
+	c := Candidate{ReportAge: -1}
+	if e == nil {
+		return c
+	}
+	c.InFlight, c.Silent = e.inFlight, e.silence.Share(now)
+	if !e.reportAt.IsZero() {
+		c.Report, c.ReportAge, c.InFlightThen = e.report, now.Sub(e.reportAt), e.inFlightThen
+		c.LargeSince = max(0, e.large-e.largeThen)
 	}
 	return c
 }
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -113,6 +113,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	rings     map[string]*ring // by service
 	splits    map[string]*Split
 	// usual is the time that the callers of a route give.
 	usual   map[string]*UsualTime
@@ -128,6 +129,7 @@
 	return &Service{
 		options:   o,
 		endpoints: make(map[string]*endpoint),
+		rings:     make(map[string]*ring),
 		splits:    make(map[string]*Split),
 		usual:     make(map[string]*UsualTime),
 		budgets:   make(map[string]*Budget),
--- a/pkg/event/bounded.go
+++ b/pkg/event/bounded.go
@@ -3,10 +3,17 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 )
 
-// boundedLines is how many lines wait for a slow output.
-const boundedLines = 2048
+const (
+	// boundedLines is how many lines wait for a slow output.
+	boundedLines = 2048
+	// gatherTime lets lines that follow each other go out in one write, of which each
+	// costs as much processor time as some lines; maxBlock bounds it in bytes.
+	gatherTime = 10 * time.Millisecond
+	maxBlock   = 64 << 10
+)
 
 // Bounded is a writer that never blocks: lines wait in a bounded queue and are
 // dropped and counted when it is full.
@@ -26,26 +33,44 @@
 
 func (b *Bounded) run(w io.Writer) {
 	defer close(b.done)
-	write := func(line []byte) {
-		if _, err := w.Write(line); err != nil {
-			b.dropped.Add(1)
-		}
-	}
 	for {
 		select {
 		case line := <-b.lines:
-			write(line)
-			continue
+			time.Sleep(gatherTime)
+			b.write(w, line)
 		case <-b.ending:
+			b.write(w, nil)
+			return
 		}
-		for {
-			select {
-			case line := <-b.lines:
-				write(line)
-			default:
-				return
+	}
+}
+
+// write writes a line, if it is not nil, and all that wait after it at once.
+func (b *Bounded) write(w io.Writer, block []byte) {
+	lines := uint64(0)
+	if block != nil {
+		lines = 1
+	}
+	for {
+		select {
+		case line := <-b.lines:
+			block = append(block, line...)
+			lines++
+			if len(block) < maxBlock {
+				continue
 			}
+		default:
+		}
+		if len(block) == 0 {
+			return
+		}
+		if _, err := w.Write(block); err != nil {
+			b.dropped.Add(lines)
+		}
+		if len(block) < maxBlock {
+			return
 		}
+		block, lines = nil, 0
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is the state of an upstream.
@@ -53,10 +55,20 @@
 	Stopping bool     `cbor:"6,keyasint" json:"stopping"`
 	Upstream Upstream `cbor:"7,keyasint" json:"upstream"`
 	Region   string   `cbor:"8,keyasint" json:"region"`
+	// Size orders hosts by their machines: larger ones carry more of what nodes tell
+	// each other.
+	Size int `cbor:"9,keyasint" json:"size"`
+}
+
+// Digest is equal for equal records.
+func (h *Host) Digest() uint64 {
+	d := xxhash.NewWithSeed(uint64(h.Incarnation) ^ uint64(h.Change)<<32)
+	_, _ = d.WriteString(h.Node) // it never fails
+	return d.Sum64()
 }
 
-// newer reports whether h replaces old.
-func (h *Host) newer(old *Host) bool {
+// IsNewer reports whether h replaces old.
+func (h *Host) IsNewer(old *Host) bool {
 	if h.Incarnation != old.Incarnation {
 		return h.Incarnation > old.Incarnation
 	}
@@ -90,6 +102,10 @@
 	removals map[string]Removal
 	// view is what requests read, nil after a change.
 	view atomic.Pointer[view]
+	// digest is that of all records.
+	digest uint64
+	// generation counts the changes.
+	generation atomic.Uint64
 }
 
 // view is the table at one time. It never changes.
@@ -117,18 +133,38 @@
 		delete(t.removals, h.Node)
 	}
 	old, ok := t.hosts[h.Node]
-	if ok && !h.newer(&old) {
+	if ok && !h.IsNewer(&old) {
 		return false
 	}
 	if ok && Supersedes(old.Upstream, h.Upstream) {
 		// A process that has just started does not know what the former one heard.
 		h.Upstream = old.Upstream
 	}
+	if ok {
+		t.digest ^= old.Digest()
+	}
+	t.digest ^= h.Digest()
 	t.hosts[h.Node] = h
-	t.view.Store(nil)
+	t.changed()
 	return true
 }
 
+// changed notes a change. The caller holds mu.
+func (t *Table) changed() {
+	t.view.Store(nil)
+	t.generation.Add(1)
+}
+
+// Digest is equal for tables with equal records.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
+
+// Generation grows with every change.
+func (t *Table) Generation() uint64 { return t.generation.Load() }
+
 // Remove forgets a host, unless a newer record than the removal's has come in, and
 // reports whether it did.
 func (t *Table) Remove(r Removal) bool {
@@ -141,8 +177,11 @@
 	if len(t.removals) < maxRemovals {
 		t.removals[r.Node] = r
 	}
+	if ok {
+		t.digest ^= old.Digest()
+	}
 	delete(t.hosts, r.Node)
-	t.view.Store(nil)
+	t.changed()
 	return ok
 }
 
@@ -166,7 +205,11 @@
 func (t *Table) All() []Host { return t.current().hosts }
 
 // Len returns the number of hosts.
-func (t *Table) Len() int { return len(t.current().hosts) }
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.hosts)
+}
 
 // Usable returns the hosts of a service to which requests may be sent. The list
 // must not be changed.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -70,10 +70,10 @@
 // Larger machines lead, and of equal ones the first by name.
 func TestRank(t *testing.T) {
 	is := is.New(t)
-	small, large := fleet.Rank(0.16, 5, "a"), fleet.Rank(0.8, 100, "b")
+	small, large := fleet.Rank(fleet.Size(0.16, 5), "a"), fleet.Rank(fleet.Size(0.8, 100), "b")
 	is.True(large < small)
-	is.True(fleet.Rank(0.16, 5, "a") < fleet.Rank(0.16, 5, "b"))
-	is.True(fleet.Rank(64, 100_000, "b") < large)
+	is.True(fleet.Rank(fleet.Size(0.16, 5), "a") < fleet.Rank(fleet.Size(0.16, 5), "b"))
+	is.True(fleet.Rank(fleet.Size(64, 100_000), "b") < large)
 }
 
 // One lead remains while all hear each other. When it falls silent the next one
--- a/pkg/fleet/lead.go
+++ b/pkg/fleet/lead.go
@@ -7,19 +7,24 @@
 	"time"
 )
 
-// coverFor is how long an announcement of a lead holds. Leads repeat it several
-// times in that time.
-const coverFor = 450 * time.Millisecond
+const (
+	// CoverFor is how long an announcement of a lead holds. Leads repeat it several
+	// times in that time.
+	CoverFor = 450 * time.Millisecond
+	// RelayedFor is the same in a large fleet, where announcements are fewer and go from
+	// node to node.
+	RelayedFor = 800 * time.Millisecond
+)
 
 // maxSize is the largest size that counts in a rank.
 const maxSize = 1_000_000
 
+// Size returns the size of a machine.
+func Size(cpuShare, linkMbps float64) int { return min(int(cpuShare*linkMbps*10), maxSize) }
+
 // Rank orders the nodes that may lead: larger machines go first, equal ones by
 // name. Lower ranks go first.
-func Rank(cpuShare, linkMbps float64, node string) string {
-	size := min(int(cpuShare*linkMbps*10), maxSize)
-	return fmt.Sprintf("%07d %s", maxSize-size, node)
-}
+func Rank(size int, node string) string { return fmt.Sprintf("%07d %s", maxSize-size, node) }
 
 // NodeOf returns the name of the node with a rank.
 func NodeOf(rank string) string {
@@ -33,10 +38,12 @@
 // only read.
 type Cover struct {
 	self string
-	// delay is how long this node waits for another to become a lead.
-	delay time.Duration
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// delay is how long this node waits for another to become a lead, and holds how long
+	// an announcement does.
+	delay     time.Duration
+	holds     time.Duration
 	leads     bool
 	announced map[string]time.Time
 	uncovered time.Time // since when no lead has been announced
@@ -47,7 +54,22 @@
 
 // NewCover returns the cover of the node with a rank, which hears no lead yet.
 func NewCover(self string, delay time.Duration) *Cover {
-	return &Cover{self: self, delay: delay, announced: make(map[string]time.Time)}
+	return &Cover{self: self, delay: delay, holds: CoverFor, announced: make(map[string]time.Time)}
+}
+
+// Set changes how long this node waits for another lead, and how long an announcement
+// holds.
+func (c *Cover) Set(delay, holds time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay, c.holds = delay, holds
+}
+
+// Ended notes that a lead said that it reads the store no more.
+func (c *Cover) Ended(lead string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.announced, lead)
 }
 
 // Announced notes that the lead with a rank reached the store just now.
@@ -71,7 +93,7 @@
 	defer c.mu.Unlock()
 	lowest := ""
 	for lead, at := range c.announced {
-		if now.Sub(at) > coverFor {
+		if now.Sub(at) > c.holds {
 			delete(c.announced, lead)
 			continue
 		}
--- /dev/null
+++ b/pkg/fleet/tree_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+)
+
+// large returns a fleet of three data centres, each with two larger machines.
+func large(perCentre int) []fleet.Host {
+	var hosts []fleet.Host
+	for _, dc := range []string{"a", "b", "c"} {
+		for i := range perCentre {
+			size := 1
+			if i == 3 || i == 5 {
+				size = 9
+			}
+			hosts = append(hosts, fleet.Host{Node: fmt.Sprintf("%s-%02d", dc, i), DataCentre: dc, Size: size, PeerAddress: "x",
+				Upstream: fleet.Upstream{ID: "u", State: fleet.StateReady, Service: "s", Slots: 7}})
+		}
+	}
+	return hosts
+}
+
+func all(string) bool { return true }
+
+// The connections of a data centre are a star around its first node, and the first
+// ones reach each other.
+func TestContactsAreStars(t *testing.T) {
+	is := is.New(t)
+	hosts := large(20)
+	for i := range hosts {
+		h := &hosts[i]
+		c := fleet.FindContacts(h, hosts, all)
+		first := h.DataCentre + "-03"
+		is.Equal(c.First, h.Node == first)
+		if h.Node != first {
+			is.Equal(c.Hub, first)
+			is.Equal(len(c.Centres), 0)
+			continue
+		}
+		is.Equal(c.Hub, h.DataCentre+"-05")
+		slices.Sort(c.Centres)
+		var others []string
+		for _, dc := range []string{"a", "b", "c"} {
+			if dc != h.DataCentre {
+				others = append(others, dc+"-03")
+			}
+		}
+		is.Equal(c.Centres, others)
+	}
+}
+
+// A node goes on to the next one where the first is not reached or stops, and leads
+// where it reaches none.
+func TestContactsPassOverLostNodes(t *testing.T) {
+	is := is.New(t)
+	hosts := large(20)
+	self := &hosts[0]
+	lost := func(names ...string) func(string) bool {
+		return func(node string) bool { return !slices.Contains(names, node) }
+	}
+	is.Equal(fleet.FindContacts(self, hosts, lost("a-03")).Hub, "a-05")
+	is.Equal(fleet.FindContacts(self, hosts, lost("a-03", "a-05")).Hub, "a-01")
+	stopping := slices.Clone(hosts)
+	stopping[3].Stopping = true
+	is.Equal(fleet.FindContacts(self, stopping, all).Hub, "a-05")
+	alone := fleet.FindContacts(self, hosts, func(node string) bool { return node[0] != 'a' })
+	is.True(alone.First)
+	is.Equal(alone.Hub, "")
+	is.Equal(len(alone.Centres), 2)
+}
+
+// The subsets of all nodes spread evenly over the upstreams, keep to the own data
+// centre and have some in each other one.
+func TestSubsetsAreEven(t *testing.T) {
+	is := is.New(t)
+	hosts := large(60)
+	users := make(map[string]int)
+	for i := range hosts {
+		r := fleet.NewRing(hosts[i].Node, hosts[i].DataCentre, hosts, hosts)
+		subset := r.Choose(all)
+		own := 0
+		for _, h := range subset {
+			users[h.Node]++
+			if h.DataCentre == hosts[i].DataCentre {
+				own++
+			}
+		}
+		is.Equal(own, 10)
+		is.Equal(len(subset), 14)
+	}
+	is.Equal(len(users), len(hosts))
+	for node, n := range users {
+		if n < 12 || n > 16 {
+			t.Fatalf("%s is in %d of %d subsets", node, n, len(hosts))
+		}
+	}
+}
+
+// A lost upstream is replaced by the next one, and the rest of the subset stays.
+func TestSubsetsKeepTheirOthers(t *testing.T) {
+	is := is.New(t)
+	hosts := large(60)
+	r := fleet.NewRing("a-07", "a", hosts, hosts)
+	before := r.Choose(all)
+	lost := before[2].Node
+	after := r.Choose(func(node string) bool { return node != lost })
+	is.Equal(len(after), len(before))
+	kept := 0
+	for _, h := range after {
+		is.True(h.Node != lost)
+		for _, b := range before {
+			if b.Node == h.Node {
+				kept++
+			}
+		}
+	}
+	is.Equal(kept, len(before)-1)
+	is.Equal(len(r.Choose(func(string) bool { return false })), len(hosts)) // better any than none
+	// A data centre without an upstream of the service uses more of the others.
+	elsewhere := slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.DataCentre == "a" })
+	lone := fleet.NewRing("a-07", "a", hosts, elsewhere)
+	is.Equal(len(lone.Choose(all)), 10)
+}
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -40,7 +40,9 @@
 	// ago it may have reached the store. With coverFor, a lead that the store turns
 	// away is replaced well within the time that a configuration has.
 	leadInterval = 200 * time.Millisecond
-	leadFresh    = 1100 * time.Millisecond
+	// relayInterval is the same in a large fleet.
+	relayInterval = 300 * time.Millisecond
+	leadFresh     = 1100 * time.Millisecond
 	// awayPauseOfHost is the part of each host in the pause between two tries while
 	// the store does not answer: together they make 20 calls a second, of which the
 	// first that is answered covers the others. maxAwayPause bounds the pause, to
@@ -49,6 +51,8 @@
 	maxAwayPause    = 15 * time.Second
 	// lookInterval is the time between two looks whether this node is covered.
 	lookInterval = 50 * time.Millisecond
+	// largeLookInterval is the same in a large fleet, where an announcement holds longer.
+	largeLookInterval = 150 * time.Millisecond
 )
 
 // lead reads the store for the nodes that it covers while no other does: all of a
@@ -56,6 +60,8 @@
 type lead struct {
 	node  *Node
 	cover *fleet.Cover
+	// jitter, 0 to 1, is this node's part in what is spread at random.
+	jitter float64
 
 	mu sync.Mutex
 	// reached is when the store last answered, zero while this node is covered.
@@ -79,10 +85,10 @@
 func (l *lead) run(ctx context.Context) {
 	var stop context.CancelFunc
 	var announcedAt time.Time
-	l.cover.Begin()
 	go l.firstHosts(ctx)
 	for ctx.Err() == nil {
 		now := time.Now()
+		l.setDelays()
 		leads := l.cover.Leads(now)
 		switch {
 		case !leads && stop != nil:
@@ -98,18 +104,53 @@
 			go l.readHosts(reading)
 			go l.watch(reading)
 		}
-		if now.Sub(announcedAt) >= leadInterval && l.fresh(now) {
+		if now.Sub(announcedAt) >= l.interval() && l.fresh(now) {
 			announcedAt = now
 			l.announce()
 		}
-		sleep(ctx, lookInterval)
+		l.node.peers.refollow()
+		sleep(ctx, l.pause())
 	}
 	if stop != nil {
 		stop()
 	}
 }
 
+// pause is the time until the next look.
+func (l *lead) pause() time.Duration {
+	if l.node.peers.isSmall() {
+		return lookInterval
+	}
+	return largeLookInterval
+}
+
+// interval is the time between two announcements.
+func (l *lead) interval() time.Duration {
+	if l.node.peers.isSmall() {
+		return leadInterval
+	}
+	return relayInterval
+}
+
+// setDelays sets how soon this node becomes a lead where it hears of none. In a large
+// fleet the first nodes of the data centres do before the others.
+func (l *lead) setDelays() {
+	switch {
+	case l.node.peers.isSmall():
+		l.cover.Set(takeOverDelay(l.node.settings.Load(), l.jitter), fleet.CoverFor)
+	case l.node.peers.tree.isFirst():
+		l.cover.Set(time.Duration(l.jitter*float64(firstTakeOver)), fleet.RelayedFor)
+	default:
+		l.cover.Set(otherTakeOver+time.Duration(l.jitter*float64(otherTakeOver)), fleet.RelayedFor)
+	}
+}
+
 const (
+	// firstTakeOver is the most that the first node of a data centre of a large fleet
+	// waits, at random, before it becomes a lead; the others wait otherTakeOver, and at
+	// random as long again.
+	firstTakeOver = 100 * time.Millisecond
+	otherTakeOver = 400 * time.Millisecond
 	// takeOver is the most that a node waits, at random, before it becomes a lead
 	// where none is heard, so that the first one covers the others. Machines with
 	// links below smallLink wait as long again.
@@ -117,8 +158,8 @@
 	smallLink = 20 // Mbit/s
 )
 
-func takeOverDelay(s *hostconf.Settings) time.Duration {
-	delay := rand.N(takeOver)
+func takeOverDelay(s *hostconf.Settings, jitter float64) time.Duration {
+	delay := time.Duration(jitter * float64(takeOver))
 	if s.Node.LinkMbps < smallLink {
 		delay += takeOver
 	}
@@ -126,7 +167,7 @@
 }
 
 func rankOf(s *hostconf.Settings) string {
-	return fleet.Rank(s.Node.CPUShare, s.Node.LinkMbps, s.Node.ID)
+	return fleet.Rank(fleet.Size(s.Node.CPUShare, s.Node.LinkMbps), s.Node.ID)
 }
 
 // setReading notes whether this node reads the store.
@@ -170,7 +211,11 @@
 
 // announce tells the nodes that this one covers that it reads the store.
 func (l *lead) announce() {
-	l.node.peers.broadcastCovered(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version()})
+	if !l.node.peers.isSmall() {
+		l.node.peers.tree.announce(rankOf(l.node.settings.Load()))
+		return
+	}
+	l.node.peers.broadcast(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version()})
 }
 
 // outcome notes how a call to the store ended.
@@ -261,14 +306,19 @@
 	})
 }
 
-// firstHosts reads the records of all hosts, whether or not a lead covers this
-// node, and once more later: a lead tells of changes only, and not of those before
-// it was connected to this node. When all start at once most records are written
-// in that time.
+// firstHosts reads the records of all hosts, whether or not a lead covers this node. In
+// a small fleet it then leads for a moment, and reads the hosts once more later: a lead
+// tells of changes only, and not of those before it was connected to this node. In a
+// large one its contacts tell it what it has missed.
 func (l *lead) firstHosts(ctx context.Context) {
 	l.listOnce(ctx)
+	if l.node.table.Len() <= meshSize {
+		l.cover.Begin()
+	}
 	sleep(ctx, secondList+rand.N(secondList))
-	l.listOnce(ctx)
+	if l.node.peers.isSmall() {
+		l.listOnce(ctx)
+	}
 }
 
 // listOnce reads the records of all hosts until the store answers.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -131,7 +131,8 @@
 	n.storePtr.Store(platform.NewStore(s.Store.Address, n.observer.storeCall))
 	n.record = newRecord(n)
 	n.peers = newPeers(n)
-	n.lead = &lead{node: n, cover: fleet.NewCover(rankOf(s), takeOverDelay(s))}
+	jitter := rand.Float64()
+	n.lead = &lead{node: n, jitter: jitter, cover: fleet.NewCover(rankOf(s), takeOverDelay(s, jitter))}
 	n.intake = n.newIntake(s)
 	n.dispatch = n.newDispatch(s)
 	n.outbound = &h1.Server{
@@ -231,10 +232,14 @@
 	}
 }
 
-func (n *Node) suspect(fingerprint uint64, life suspect.Life) {
-	if n.suspects.Crash(time.Now(), fingerprint, life) {
+// suspect notes that a request ran when an upstream crashed, and reports whether that
+// is news.
+func (n *Node) suspect(fingerprint uint64, life suspect.Life) bool {
+	isNew, refused := n.suspects.Crash(time.Now(), fingerprint, life)
+	if refused {
 		n.log.Emit(event.RequestPoison, event.F("fingerprint", fingerprint), event.F("upstream", life.UpstreamID))
 	}
+	return isNew
 }
 
 // limits returns the limits in force. A configuration may leave some out.
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -16,6 +16,8 @@
 	// removeAfter is how long a host is unreachable before its entry is removed.
 	// It is well above the cuts of which a data centre returns by itself.
 	removeAfter = 15 * time.Second
+	// removeTimeout bounds the removal of one entry.
+	removeTimeout = 2 * time.Second
 )
 
 // takeAll takes in a whole list of a revision: what is not in it, and was there
@@ -69,37 +71,46 @@
 		}
 	}
 	if len(news.Hosts)+len(news.Removed) > 0 {
-		n.peers.broadcastCovered(news)
+		n.peers.broadcast(news)
 	}
 }
 
-// merge takes in the record of another host and reports whether it is news.
-func (n *Node) merge(h fleet.Host, source string) bool {
+// mergeQuietly takes in the record of a host and reports whether it is news of
+// another one.
+func (n *Node) mergeQuietly(h fleet.Host) bool {
 	if h.Node == n.settings.Load().Node.ID {
 		n.record.learnFromPeer(h)
 		return false
 	}
-	if !n.table.Merge(h) {
+	return n.table.Merge(h)
+}
+
+// merge takes in the record of another host and reports whether it is news.
+func (n *Node) merge(h fleet.Host, source string) bool {
+	if !n.mergeQuietly(h) {
 		return false
 	}
 	n.log.Emit(event.HostChanged, event.F("host", h.Node), event.F("dataCentre", h.DataCentre), event.F("incarnation", h.Incarnation),
 		event.F("change", h.Change), event.F("stopping", h.Stopping), event.F("upstream", h.Upstream.ID),
 		event.F("state", h.Upstream.State), event.F("source", source))
-	n.peers.follow()
+	n.peers.followSoon()
 	return true
 }
 
-// remove takes in that the entry of a host was removed.
-func (n *Node) remove(r fleet.Removal, source string) {
+// remove takes in that the entry of a host was removed, and reports whether it was
+// known.
+func (n *Node) remove(r fleet.Removal, source string) bool {
 	if r.Node == n.settings.Load().Node.ID {
 		n.record.restore(&r)
-		return
+		return false
 	}
-	if n.table.Remove(r) {
+	known := n.table.Remove(r)
+	if known {
 		n.log.Emit(event.HostRemoved, event.F("host", r.Node), event.F("incarnation", r.Incarnation), event.F("change", r.Change),
 			event.F("source", source))
-		n.peers.follow()
+		n.peers.followSoon()
 	}
+	return known
 }
 
 // janitor removes the entries of hosts that have been unreachable for long. Only
@@ -108,6 +119,10 @@
 	for ctx.Err() == nil {
 		sleep(ctx, janitorInterval)
 		n.peers.follow()
+		if !n.peers.isSmall() {
+			n.reportLost()
+			continue
+		}
 		if !n.lead.fresh(time.Now()) {
 			continue
 		}
@@ -117,6 +132,36 @@
 	}
 }
 
+// reportLost takes hosts away that the first node of their data centre has not reached
+// for long, and tells all. The node that reads the store removes their entries.
+func (n *Node) reportLost() {
+	if !n.peers.tree.isFirst() {
+		return
+	}
+	n.peers.seek()
+	for _, name := range n.peers.lostFor(removeAfter) {
+		h, ok := n.table.Get(name)
+		if !ok {
+			continue
+		}
+		r := fleet.Removal{Node: name, Incarnation: h.Incarnation, Change: h.Change}
+		n.remove(r, "unreachable")
+		n.peers.broadcast(&link.News{Removed: []fleet.Removal{r}})
+	}
+}
+
+// forgetRemoved removes the entry of a host that was taken away, if this node reads
+// the store.
+func (n *Node) forgetRemoved(name string) {
+	if n.lead.fresh(time.Now()) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+			defer cancel()
+			n.removeLost(ctx, name)
+		}()
+	}
+}
+
 func (n *Node) removeLost(ctx context.Context, name string) {
 	n.mu.Lock()
 	revision, ok := n.revisions[name]
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
@@ -15,11 +16,18 @@
 
 const (
 	// meshSize is the number of hosts up to which every node connects to every
-	// other one. In larger fleets a lead connects to the nodes of its data centre,
-	// and every node to those it calls.
+	// other one. In larger fleets every node connects to its contacts and to those it
+	// calls.
 	meshSize = 32
-	// unusedAfter is how long a connection in a larger fleet is kept without calls.
-	unusedAfter = 15 * time.Second
+	// settled is how long after its start a node takes its fleet for a small one: by
+	// then it has heard of all hosts.
+	settled = 1500 * time.Millisecond
+	// unusedAfter is how long a connection in a larger fleet is kept without calls. A
+	// node calls each upstream of its subset every some seconds.
+	unusedAfter = time.Minute
+	// seekAfter is how long the first node of a data centre does without a host that
+	// should follow it, before it looks for the host itself.
+	seekAfter = 4 * time.Second
 	// pullWait is how long a node that hears of a newer configuration from another
 	// data centre waits for its own lead before it asks.
 	pullWait = 700 * time.Millisecond
@@ -32,11 +40,16 @@
 	node   *Node
 	server *link.Server
 	pulse  *link.Pulse
+	tree   *tree
+	// changed tells that the table has changed since the last follow.
+	changed atomic.Bool
 
-	mu      sync.Mutex
-	peers   map[string]*link.Peer
-	closed  bool
-	lostAt  map[string]time.Time
+	mu     sync.Mutex
+	peers  map[string]*link.Peer
+	closed bool
+	lostAt map[string]time.Time
+	// absent is since when hosts that should follow this node do not.
+	absent  map[string]time.Time
 	pulling time.Time
 	// awaited is the newest version that another data centre has announced.
 	awaited uint64
@@ -46,7 +59,10 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, pulse: link.NewPulse(), peers: make(map[string]*link.Peer), lostAt: make(map[string]time.Time)}
+	return &peers{
+		node: n, pulse: link.NewPulse(), tree: newTree(n),
+		peers: make(map[string]*link.Peer), lostAt: make(map[string]time.Time), absent: make(map[string]time.Time),
+	}
 }
 
 func (p *peers) self() link.Identity {
@@ -124,24 +140,43 @@
 	return open || !failed
 }
 
+// isSmall reports whether every node connects to every other one.
+func (p *peers) isSmall() bool {
+	return p.node.table.Len() <= meshSize && time.Since(p.node.started) > settled
+}
+
+// open returns the connection to a node if it is open.
+func (p *peers) open(node string) *link.Peer {
+	p.mu.Lock()
+	peer := p.peers[node]
+	p.mu.Unlock()
+	if peer == nil {
+		return nil
+	}
+	if open, _ := peer.Connected(); !open {
+		return nil
+	}
+	return peer
+}
+
 // follow connects to the hosts that this node has to reach and drops those that
 // left the table.
 func (p *peers) follow() {
 	hosts := p.node.table.All()
-	s := p.node.settings.Load()
-	isSmall, isLead := len(hosts) <= meshSize, p.node.lead.leads()
+	isSmall := p.isSmall()
+	if isSmall {
+		p.reachAll(hosts)
+	} else {
+		p.reachContacts(hosts)
+	}
 	known := make(map[string]bool, len(hosts))
-	for _, h := range hosts {
-		known[h.Node] = true
-		wanted := isSmall || isLead && h.DataCentre == s.Node.DataCentre
-		if wanted && h.Node != s.Node.ID && !h.Stopping && h.Upstream.State != fleet.StateGone {
-			p.ensure(h)
-		}
+	for i := range hosts {
+		known[hosts[i].Node] = true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for node, peer := range p.peers {
-		if !known[node] || !isSmall && !isLead && peer.Unused() > unusedAfter {
+		if !known[node] || !isSmall && !p.tree.isContact(node) && peer.Unused() > unusedAfter {
 			go peer.Close()
 			delete(p.peers, node)
 			delete(p.lostAt, node)
@@ -149,6 +184,79 @@
 	}
 }
 
+// reachAll connects to all hosts.
+func (p *peers) reachAll(hosts []fleet.Host) {
+	self := p.node.settings.Load().Node.ID
+	for _, h := range hosts {
+		if h.Node != self && !h.Stopping && h.Upstream.State != fleet.StateGone {
+			p.ensure(h)
+		}
+	}
+}
+
+// followSoon makes the next refollow connect to the hosts of the changed table.
+func (p *peers) followSoon() { p.changed.Store(true) }
+
+// refollow connects to other hosts where the table has changed, and to other contacts
+// where one is not reached.
+func (p *peers) refollow() {
+	if p.changed.Swap(false) {
+		p.follow()
+		return
+	}
+	if p.isSmall() {
+		return
+	}
+	for node := range p.tree.wantedContacts() {
+		if p.open(node) == nil {
+			p.reachContacts(p.node.table.All())
+			return
+		}
+	}
+}
+
+// reachContacts connects to the contacts and asks new ones to be told everything.
+func (p *peers) reachContacts(hosts []fleet.Host) {
+	self := p.node.record.current()
+	contacts := fleet.FindContacts(&self, hosts, p.reachable)
+	added := p.tree.setContacts(contacts)
+	for _, node := range append([]string{contacts.Hub}, contacts.Centres...) {
+		if node != "" {
+			p.get(node)
+		}
+	}
+	for _, node := range added {
+		if peer := p.open(node); peer != nil {
+			peer.SendNews(p.greeting(node))
+		}
+	}
+}
+
+// seek connects to the hosts of the own data centre that have not followed this node
+// for a while, to find out whether they live.
+func (p *peers) seek() {
+	now := time.Now()
+	s := p.node.settings.Load()
+	for _, h := range p.node.table.All() {
+		if h.DataCentre != s.Node.DataCentre || h.Node == s.Node.ID {
+			continue
+		}
+		follows := p.tree.follows(h.Node)
+		p.mu.Lock()
+		since, known := p.absent[h.Node]
+		switch {
+		case follows:
+			delete(p.absent, h.Node)
+		case !known:
+			p.absent[h.Node] = now
+		}
+		p.mu.Unlock()
+		if !follows && known && now.Sub(since) > seekAfter {
+			p.ensure(h)
+		}
+	}
+}
+
 func (p *peers) all() []*link.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -170,43 +278,28 @@
 	return n
 }
 
-// broadcast sends news to every connected node.
+// broadcast sends news to every connected node, or in a large fleet to the neighbours
+// in the tree.
 func (p *peers) broadcast(n *link.News) {
+	if !p.isSmall() {
+		p.tree.send(n, "")
+		return
+	}
 	for _, peer := range p.all() {
 		peer.SendNews(n)
 	}
-	if p.server != nil && p.node.table.Len() > meshSize {
-		// Those that call this node, its lead among them, may not be called by it.
-		p.server.SendNews(n)
-	}
-}
-
-// broadcastCovered sends news to the connected nodes that a lead covers: those of
-// its data centre, and all in a fleet in which every node reaches every other one.
-func (p *peers) broadcastCovered(n *link.News) {
-	own := p.node.settings.Load().Node.DataCentre
-	hosts := p.node.table.All()
-	isSmall := len(hosts) <= meshSize
-	for _, h := range hosts {
-		if h.DataCentre != own && !isSmall {
-			continue
-		}
-		p.mu.Lock()
-		peer := p.peers[h.Node]
-		p.mu.Unlock()
-		if peer != nil {
-			peer.SendNews(n)
-		}
-	}
 }
 
 func (p *peers) broadcastHost(h fleet.Host) { p.broadcast(&link.News{Hosts: []fleet.Host{h}}) }
 
 // greeting is what a node is told when a connection opens.
-func (p *peers) greeting() *link.News {
+func (p *peers) greeting(node string) *link.News {
 	n := &link.News{ConfigVersion: p.node.Version(), Hosts: []fleet.Host{p.node.record.current()}}
-	if p.node.table.Len() <= meshSize {
+	switch {
+	case p.isSmall():
 		n.Hosts = p.node.table.All()
+	case p.tree.isContact(node):
+		n.Follow = true
 	}
 	return n
 }
@@ -218,7 +311,7 @@
 	p.mu.Unlock()
 	p.node.log.Emit(event.PeerUp, event.F("peer", node))
 	if peer != nil {
-		peer.SendNews(p.greeting())
+		peer.SendNews(p.greeting(node))
 	}
 }
 
@@ -251,8 +344,9 @@
 }
 
 // news takes in what another node says beside calls.
-func (p *peers) news(node string, n *link.News, reply func(*link.News)) {
-	forward, stale := &link.News{}, &link.News{}
+func (p *peers) news(node string, n *link.News, reply func(*link.News) bool) {
+	isSmall := p.isSmall()
+	stale := &link.News{}
 	for _, h := range n.Hosts {
 		if r, ok := p.node.table.Removed(h); ok {
 			// The sender missed it; if it is the host itself, it comes back with a change.
@@ -263,25 +357,23 @@
 			// Its former process had heard more of the upstream.
 			reply(&link.News{Hosts: []fleet.Host{old}})
 		}
-		if p.node.merge(h, "peer "+node) {
-			forward.Hosts = append(forward.Hosts, h)
+		if p.node.merge(h, "peer "+node) && !isSmall {
+			p.tree.pass(h, node)
 		}
 	}
 	if len(stale.Removed) > 0 {
 		reply(stale)
 	}
-	if len(forward.Hosts) > 0 && p.node.lead.leads() && p.node.table.Len() > meshSize {
-		p.broadcastCovered(forward)
-	}
 	for _, r := range n.Removed {
-		p.node.remove(r, "peer "+node)
+		p.takeRemoval(node, r)
 	}
 	if n.Lead != "" {
-		p.node.lead.cover.Announced(time.Now(), n.Lead)
+		p.takeLead(node, n)
 	}
 	for _, c := range n.Crashes {
-		p.node.suspect(c.Fingerprint, suspect.Life{UpstreamID: c.UpstreamID, Born: c.Born})
+		p.takeCrash(node, c)
 	}
+	p.takeTree(node, n, reply)
 	if len(n.Config) > 0 {
 		raw, err := pack.Unpack(n.Config)
 		if err != nil {
@@ -298,13 +390,62 @@
 	}
 	switch {
 	case n.ConfigVersion <= p.node.Version():
-	case n.Lead != "" || p.node.Version() == 0:
+	case n.Lead != "" || p.node.Version() == 0 || !isSmall:
 		p.pull(n.ConfigVersion, reply)
 	case p.node.lead.leads():
 		p.awaitVersion(n.ConfigVersion)
 	}
 }
 
+// takeRemoval takes in that a host was taken away.
+func (p *peers) takeRemoval(from string, r fleet.Removal) {
+	if !p.node.remove(r, "peer "+from) || p.isSmall() {
+		return
+	}
+	p.node.forgetRemoved(r.Node)
+	p.tree.send(&link.News{Removed: []fleet.Removal{r}}, from)
+}
+
+// takeLead takes in that a node reads the store.
+func (p *peers) takeLead(from string, n *link.News) {
+	if !p.isSmall() && !p.tree.isNew(from, n) {
+		return
+	}
+	p.node.lead.cover.Announced(time.Now(), n.Lead)
+}
+
+// takeCrash takes in that a request ran when an upstream crashed.
+func (p *peers) takeCrash(from string, c link.Crash) {
+	isNew := p.node.suspect(c.Fingerprint, suspect.Life{UpstreamID: c.UpstreamID, Born: c.Born})
+	if isNew && !p.isSmall() {
+		p.tree.send(&link.News{Crashes: []link.Crash{c}}, from)
+	}
+}
+
+// takeTree takes in what keeps the tables of a large fleet equal.
+func (p *peers) takeTree(from string, n *link.News, reply func(*link.News) bool) {
+	if n.Follow {
+		p.tree.follow(from, reply)
+	}
+	if n.WantHosts {
+		reply(p.tree.table())
+	}
+	if n.Digest != nil && p.tree.isContact(from) && p.tree.compare(*n.Digest) {
+		reply(&link.News{WantHosts: true})
+	}
+	if len(n.Table) == 0 {
+		return
+	}
+	missing, err := p.tree.takeTable(from, n.Table)
+	if err != nil {
+		p.node.log.Emit(event.PeerUnreadable, event.F("peer", from), event.F("error", err))
+		return
+	}
+	if len(missing.Hosts)+len(missing.Removed) > 0 {
+		reply(missing)
+	}
+}
+
 // packed returns the compressed document of a configuration.
 func (p *peers) packed(s *meshconf.Snapshot) []byte {
 	p.mu.Lock()
@@ -317,7 +458,7 @@
 
 // pull asks a peer for a configuration that the store has not brought, unless one
 // was asked just now. Leads announce a version again until this node has it.
-func (p *peers) pull(version uint64, reply func(*link.News)) {
+func (p *peers) pull(version uint64, reply func(*link.News) bool) {
 	own := p.node.Version()
 	if own >= version {
 		return
--- a/pkg/host/peers_test.go
+++ b/pkg/host/peers_test.go
@@ -53,16 +53,17 @@
 func TestPullAfterDeadConnections(t *testing.T) {
 	is := is.New(t)
 	n := newPlainNode(t)
-	dead := func(*link.News) {}
+	dead := func(*link.News) bool { return true }
 	announcement := &link.News{Lead: "0", ConfigVersion: 5}
 	for range 50 {
 		n.peers.news("lead", announcement, dead)
 	}
 	asked := 0
-	live := func(news *link.News) {
+	live := func(news *link.News) bool {
 		if news.WantNewer != nil {
 			asked++
 		}
+		return true
 	}
 	for range 20 {
 		n.peers.news("lead", announcement, live)
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -50,7 +50,7 @@
 		node: n,
 		host: fleet.Host{
 			Node: s.Node.ID, DataCentre: s.Node.DataCentre, Region: s.Node.Region, PeerAddress: s.PeerAddress(),
-			Incarnation: time.Now().UnixMilli(),
+			Incarnation: time.Now().UnixMilli(), Size: fleet.Size(s.Node.CPUShare, s.Node.LinkMbps),
 		},
 		changed: make(chan struct{}),
 		learned: make(chan struct{}),
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -18,16 +18,20 @@
 func (n *Node) Reload(signal bool) {
 	n.reloading.Lock()
 	defer n.reloading.Unlock()
-	s, raw, err := hostconf.Load(n.path)
-	if err != nil {
-		if signal || !errors.Is(err, hostconf.ErrInvalid) {
-			n.log.Emit(event.SettingsRefused, event.F("error", err))
+	raw, err := hostconf.Read(n.path)
+	if err == nil && bytes.Equal(raw, n.raw) {
+		if signal {
+			n.log.Emit(event.SettingsReloaded, event.F("changed", false))
 		}
 		return
 	}
-	if bytes.Equal(raw, n.raw) {
-		if signal {
-			n.log.Emit(event.SettingsReloaded, event.F("changed", false))
+	var s *hostconf.Settings
+	if err == nil {
+		s, err = hostconf.Parse(raw)
+	}
+	if err != nil {
+		if signal || !errors.Is(err, hostconf.ErrInvalid) {
+			n.log.Emit(event.SettingsRefused, event.F("error", err))
 		}
 		return
 	}
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -110,12 +110,20 @@
 	return fmt.Sprintf("%s:%d", s.Node.IP, s.Listen.MetricsPort)
 }
 
-// Load reads and checks a settings file. It returns the bytes as well, so that a
-// change can be noticed.
-func Load(path string) (*Settings, []byte, error) {
+// Read reads a settings file without checking it, so that a change can be noticed.
+func Read(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read settings: %w", err)
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return data, nil
+}
+
+// Load reads and checks a settings file. It returns the bytes as well.
+func Load(path string) (*Settings, []byte, error) {
+	data, err := Read(path)
+	if err != nil {
+		return nil, nil, err
 	}
 	s, err := Parse(data)
 	if err != nil {
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
+	"github.com/tarragondrum/tarragondrum/pkg/pack"
 )
 
 // ErrFrame is returned for a frame that cannot be read.
@@ -152,6 +153,40 @@
 	Lead string `cbor:"7,keyasint,omitempty"`
 	// Removed are hosts whose entries were taken away.
 	Removed []fleet.Removal `cbor:"8,keyasint,omitempty"`
+	// Follow asks for everything that nodes tell each other.
+	Follow bool `cbor:"9,keyasint,omitempty"`
+	// Run and Number tell announcements of a lead apart: those of one process count up.
+	Run    int64  `cbor:"10,keyasint,omitempty"`
+	Number uint64 `cbor:"11,keyasint,omitempty"`
+	// LeadEnded is the rank of a node that reads the store no more.
+	LeadEnded string `cbor:"12,keyasint,omitempty"`
+	// Digest is that of the sender's table of hosts.
+	Digest *uint64 `cbor:"13,keyasint,omitempty"`
+	// WantHosts asks for the whole table, and Table is one, compressed.
+	WantHosts bool   `cbor:"14,keyasint,omitempty"`
+	Table     []byte `cbor:"15,keyasint,omitempty"`
+}
+
+// PackHosts returns a table as News carries it.
+func PackHosts(hosts []fleet.Host) ([]byte, error) {
+	raw, err := cbor.Marshal(hosts)
+	if err != nil {
+		return nil, fmt.Errorf("encode %d hosts: %w", len(hosts), err)
+	}
+	return pack.Pack(raw), nil
+}
+
+// UnpackHosts returns what PackHosts was given.
+func UnpackHosts(table []byte) ([]fleet.Host, error) {
+	raw, err := pack.Unpack(table)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	var hosts []fleet.Host
+	if err := decoder.Unmarshal(raw, &hosts); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	return hosts, nil
 }
 
 // Crash tells that an upstream crashed while a request ran.
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -99,7 +99,7 @@
 }
 
 func quiet() link.Events {
-	return link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News)) {}}
+	return link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}}
 }
 
 var stale = &link.Answer{Outcome: link.Unknown, Reason: "stale"}
@@ -303,7 +303,7 @@
 	is := is.New(t)
 	got := make(chan string, 2)
 	events := quiet()
-	events.News = func(node string, n *link.News, reply func(*link.News)) {
+	events.News = func(node string, n *link.News, reply func(*link.News) bool) {
 		got <- fmt.Sprint(node, " ", n.ConfigVersion)
 		if n.ConfigVersion == 1 {
 			reply(&link.News{ConfigVersion: 2})
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -77,7 +77,7 @@
 	Up   func(node string)
 	Down func(node string, err error)
 	// News is told of what a peer says beside calls. reply sends something back.
-	News func(node string, n *News, reply func(*News))
+	News func(node string, n *News, reply func(*News) bool)
 }
 
 // Peer calls one other node.
@@ -171,11 +171,10 @@
 	return p.session != nil, p.failed
 }
 
-// SendNews sends news to the peer if it is connected.
-func (p *Peer) SendNews(n *News) {
-	if s := p.current(); s != nil {
-		s.send(&frame{Kind: kindNews, News: n})
-	}
+// SendNews sends news to the peer if it is connected, and reports whether it is.
+func (p *Peer) SendNews(n *News) bool {
+	s := p.current()
+	return s != nil && s.send(&frame{Kind: kindNews, News: n})
 }
 
 func (p *Peer) current() *session {
--- a/pkg/link/sealed_test.go
+++ b/pkg/link/sealed_test.go
@@ -55,7 +55,7 @@
 				Handle: func(context.Context, string, *link.Call) *link.Answer {
 					return &link.Answer{Outcome: link.Ran, Status: 200}
 				},
-				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News)) {}},
+				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}},
 			}
 			address := freeAddress(t)
 			is.NoErr(s.Listen(address))
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -228,7 +228,7 @@
 		}
 		c.mu.Unlock()
 	case f.Kind == kindNews && f.News != nil:
-		s.Events.News(node, f.News, func(n *News) { session.send(&frame{Kind: kindNews, News: n}) })
+		s.Events.News(node, f.News, func(n *News) bool { return session.send(&frame{Kind: kindNews, News: n}) })
 	}
 }
 
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -43,9 +43,9 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker() *Tracker { return &Tracker{suspects: make(map[uint64]*crashes)} }
 
-// Crash notes that the request ran when an upstream's life ended, and reports
-// whether it is refused from now on and was not before.
-func (t *Tracker) Crash(now time.Time, fingerprint uint64, life Life) bool {
+// Crash notes that the request ran when an upstream's life ended. It reports whether
+// that was news, and whether the request is refused from now on and was not before.
+func (t *Tracker) Crash(now time.Time, fingerprint uint64, life Life) (isNew, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
@@ -55,11 +55,11 @@
 		t.suspects[fingerprint] = c
 	}
 	if _, known := c.lives[life]; known {
-		return false
+		return false, false
 	}
 	c.lives[life] = struct{}{}
 	c.last = now
-	return len(c.lives) == maxCrashes
+	return true, len(c.lives) == maxCrashes
 }
 
 // forget drops old suspects when there are many. The caller holds mu.
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -19,9 +19,11 @@
 	for crash := range 3 {
 		life := suspect.Life{UpstreamID: "up", Born: int64(crash)}
 		is.True(!tracker.Refused(now, poison))
-		convicted := tracker.Crash(now, poison, life)
+		isNew, convicted := tracker.Crash(now, poison, life)
+		is.True(isNew)
 		is.Equal(convicted, crash == 2)
-		is.True(!tracker.Crash(now, poison, life)) // told twice of the same crash
+		isNew, convicted = tracker.Crash(now, poison, life)
+		is.True(!isNew && !convicted) // told twice of the same crash
 		tracker.Crash(now, bystander, life)
 		tracker.Cleared(bystander)
 		now = now.Add(time.Second)
