Keep the hosts of a data centre in one object of the store

Change: the store has one roster for each data centre (platform/directory.go). A starting node reads that of its own, one call, and hears the rest from its hub or lead. The node that reads the store writes the rosters that differ from its table, once a second, at once where an upstream waits to leave; it tells the hosts that wait. A node that is not covered, or whose leaving is not saved within 0.2 to 0.4 s, writes the roster itself over the revision that it knows. A draft reads the revision before the table, so that it leaves out nothing that the store had; a record that cannot be read takes nobody away. A node looks for a lead once it has joined. An own announcement that comes back over another way does not end a lead (found in the log: five leads that ended each other every second). At the first start of all, small machines leave it to larger ones to begin the rosters (new setting node.firstStart).

The tests of per-host entries give way to ones of rosters that ask as much: TestRosters (unreadable records too), TestConflicts, TestWatches, TestRemovedHostThatLivesComesBack, and TestCoveredNodeLearnsOfAllHosts in place of the second list, which digests of the tables replace in small fleets as well. New: TestOwnAnnouncementComesBack, TestParseLeavesItsInput.

Conclusion: the start costs one call a node; rest costs as many as before on one node for the whole fleet.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -78,6 +78,26 @@
 // Usable reports whether requests may be sent to the upstream.
 func (h *Host) Usable() bool { return !h.Stopping && h.Upstream.State == StateReady }
 
+// Version names a state of a host's record.
+type Version struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Change      int64  `cbor:"3,keyasint,omitempty"`
+}
+
+// Version returns that of the record.
+func (h *Host) Version() Version {
+	return Version{Node: h.Node, Incarnation: h.Incarnation, Change: h.Change}
+}
+
+// After reports whether v is a later version than another one of the same host.
+func (v *Version) After(other Version) bool {
+	if v.Incarnation != other.Incarnation {
+		return v.Incarnation > other.Incarnation
+	}
+	return v.Change > other.Change
+}
+
 // Removal says that a host was taken away, up to a change of its record.
 type Removal struct {
 	Node        string `cbor:"1,keyasint"`
--- a/pkg/fleet/lead.go
+++ b/pkg/fleet/lead.go
@@ -65,13 +65,6 @@
 	c.delay, c.holds = delay, holds
 }
 
-// Ended notes that a lead said that it reads the store no more.
-func (c *Cover) Ended(lead string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.announced, lead)
-}
-
 // Announced notes that the lead with a rank reached the store just now.
 func (c *Cover) Announced(now time.Time, lead string) {
 	c.mu.Lock()
@@ -117,10 +110,3 @@
 	}
 	return c.leads
 }
-
-// Begin makes a node that has just started read the store at once.
-func (c *Cover) Begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leads = true
-}
--- a/pkg/host/cluster_test.go
+++ b/pkg/host/cluster_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
 	"github.com/tarragondrum/tarragondrum/platform"
 	"github.com/tarragondrum/tarragondrum/platform/standin"
@@ -233,3 +234,22 @@
 	}
 	return ids
 }
+
+// stored returns the state of the upstream of a host as the store has it, or nothing.
+func (c *cluster) stored(host string) fleet.State {
+	c.t.Helper()
+	store := platform.NewStore(c.mesh.StoreAddress, func(string, string) {})
+	defer store.Close()
+	rosters, err := store.Rosters(c.t.Context(), false)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, r := range rosters {
+		for _, h := range r.Hosts {
+			if h.Node == host {
+				return h.Upstream.State
+			}
+		}
+	}
+	return fleet.StateNone
+}
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,8 +19,6 @@
 	// watchPause lets changes that follow each other come in one answer. It is a
 	// small part of the time in which a configuration has to be in force.
 	watchPause = 500 * time.Millisecond
-	// hostsPause is the same for the records of hosts, which peers tell as well.
-	hostsPause = 1500 * time.Millisecond
 	// readInterval is the time between two plain reads of the configuration. Watches
 	// can be deaf for seconds, plain reads are not.
 	readInterval = 900 * time.Millisecond
@@ -30,12 +27,9 @@
 	// at once they know each other, and are covered, after the second list.
 	settleTime = 4500 * time.Millisecond
 	firstRead  = 2500 * time.Millisecond
-	// hostsInterval is the time between two plain reads of all hosts, which tell
-	// each other of changes themselves.
+	// hostsInterval is the time between two plain reads of all rosters: hosts tell each
+	// other of changes themselves.
 	hostsInterval = 8 * time.Second
-	// secondList is the least time after its start at which a node lists the hosts
-	// again, and half of the most: by then its lead has connected.
-	secondList = 2 * time.Second
 	// leadInterval is the time between two announcements of a lead, and leadFresh how long
 	// ago it may have reached the store. With coverFor, a lead that the store turns
 	// away is replaced well within the time that a configuration has.
@@ -70,12 +64,11 @@
 	answered time.Time
 	// reading is set while this node reads the store.
 	reading bool
-	// revision is the one to watch the configuration from, readRevision the one at
-	// which it was read last, and hostsRevision the one to watch the hosts from.
-	revision      uint64
-	readRevision  uint64
-	hostsRevision uint64
-	// listedAt is when the records of all hosts were read last.
+	// revision is the one to watch the configuration from, and readRevision the one at
+	// which it was read last.
+	revision     uint64
+	readRevision uint64
+	// listedAt is when the rosters were read last.
 	listedAt time.Time
 	lost     bool
 }
@@ -85,7 +78,7 @@
 func (l *lead) run(ctx context.Context) {
 	var stop context.CancelFunc
 	var announcedAt time.Time
-	go l.firstHosts(ctx)
+	l.waitJoined(ctx)
 	for ctx.Err() == nil {
 		now := time.Now()
 		l.setDelays()
@@ -102,6 +95,7 @@
 			l.node.log.Emit(event.LeadStarted)
 			go l.readConfig(reading)
 			go l.readHosts(reading)
+			go l.node.rosters.keep(reading)
 			go l.watch(reading)
 		}
 		if now.Sub(announcedAt) >= l.interval() && l.fresh(now) {
@@ -116,6 +110,21 @@
 	}
 }
 
+// joinTime is how long a node waits until it has joined before it looks for a lead: it
+// knows no other node before.
+const joinTime = 3 * time.Second
+
+// waitJoined waits until the store has told of other hosts.
+func (l *lead) waitJoined(ctx context.Context) {
+	limit := time.NewTimer(joinTime)
+	defer limit.Stop()
+	select {
+	case <-l.node.rosters.joined.closed:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // pause is the time until the next look.
 func (l *lead) pause() time.Duration {
 	if l.node.peers.isSmall() {
@@ -150,7 +159,7 @@
 	// waits, at random, before it becomes a lead; the others wait otherTakeOver, and at
 	// random as long again.
 	firstTakeOver = 100 * time.Millisecond
-	otherTakeOver = 400 * time.Millisecond
+	otherTakeOver = 600 * time.Millisecond
 	// takeOver is the most that a node waits, at random, before it becomes a lead
 	// where none is heard, so that the first one covers the others. Machines with
 	// links below smallLink wait as long again.
@@ -185,8 +194,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	go l.watchConfig(ctx)
-	l.watchHosts(ctx)
+	l.watchConfig(ctx)
 }
 
 // rest ends the lead's work.
@@ -209,13 +217,20 @@
 	return !l.reached.IsZero() && now.Sub(l.reached) <= leadFresh
 }
 
+// isCovered reports whether this node or one that it hears reads the store.
+func (l *lead) isCovered(now time.Time) bool {
+	_, at := l.cover.Heard()
+	return l.fresh(now) || now.Sub(at) <= fleet.RelayedFor
+}
+
 // announce tells the nodes that this one covers that it reads the store.
 func (l *lead) announce() {
 	if !l.node.peers.isSmall() {
 		l.node.peers.tree.announce(rankOf(l.node.settings.Load()))
 		return
 	}
-	l.node.peers.broadcast(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version()})
+	digest := l.node.table.Digest()
+	l.node.peers.broadcast(&link.News{Lead: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version(), Digest: &digest})
 }
 
 // outcome notes how a call to the store ended.
@@ -306,83 +321,32 @@
 	})
 }
 
-// firstHosts reads the records of all hosts, whether or not a lead covers this node. In
-// a small fleet it then leads for a moment, and reads the hosts once more later: a lead
-// tells of changes only, and not of those before it was connected to this node. In a
-// large one its contacts tell it what it has missed.
-func (l *lead) firstHosts(ctx context.Context) {
-	l.listOnce(ctx)
-	if l.node.table.Len() <= meshSize {
-		l.cover.Begin()
-	}
-	sleep(ctx, secondList+rand.N(secondList))
-	if l.node.peers.isSmall() {
-		l.listOnce(ctx)
-	}
-}
-
-// listOnce reads the records of all hosts until the store answers.
-func (l *lead) listOnce(ctx context.Context) {
-	pause := retryMin
-	for ctx.Err() == nil && l.listHosts(ctx, false) != nil {
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, max(retryMax, awayPause(l.node.table.Len())))
-	}
-}
-
-// readHosts reads the records of all hosts at every interval. They may be some
-// seconds old where this node has read them lately: changes are told sooner by
-// watches and peers.
-func (l *lead) readHosts(ctx context.Context) {
-	l.repeatReached(ctx, hostsInterval, func() error {
-		since := l.sinceListed()
-		if since < hostsInterval/2 {
-			return nil // as a node that has just started
-		}
-		return l.listHosts(ctx, since < 2*hostsInterval)
-	})
-}
-
-// sinceListed returns how long ago the records of all hosts were read.
-func (l *lead) sinceListed() time.Duration {
+// wrote notes that this node changed the store: the next revision is no change of the
+// configuration.
+func (l *lead) wrote(revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.listedAt)
-}
-
-func (l *lead) listHosts(ctx context.Context, mayBeStale bool) error {
-	entries, revision, err := l.node.store().Hosts(ctx, mayBeStale)
-	if err != nil {
-		return err
+	if revision == l.readRevision+1 {
+		l.readRevision = revision
 	}
-	l.node.takeAll(entries, revision)
-	l.mu.Lock()
-	l.hostsRevision = max(l.hostsRevision, revision)
-	l.listedAt = time.Now()
-	l.mu.Unlock()
-	return nil
 }
 
-// watchHosts brings changes of the records sooner.
-func (l *lead) watchHosts(ctx context.Context) {
-	l.repeatReached(ctx, hostsPause, func() error {
+// readHosts reads the rosters at every interval. They may be some seconds old where
+// this node has read them lately: changes are told sooner by peers.
+func (l *lead) readHosts(ctx context.Context) {
+	l.repeatReached(ctx, hostsInterval, func() error {
 		l.mu.Lock()
-		revision := l.hostsRevision
+		since := time.Since(l.listedAt)
 		l.mu.Unlock()
-		if revision == 0 {
-			return nil // not read yet
-		}
-		entries, next, err := l.node.store().WatchHosts(ctx, revision, watchWait)
-		if errors.Is(err, platform.ErrCompacted) {
-			return l.listHosts(ctx, false)
+		if since < hostsInterval/2 {
+			return nil
 		}
-		if err != nil {
+		if err := l.node.rosters.list(ctx, since < 2*hostsInterval); err != nil {
 			return err
 		}
 		l.mu.Lock()
-		l.hostsRevision = max(l.hostsRevision, next)
+		l.listedAt = time.Now()
 		l.mu.Unlock()
-		l.node.takeEntries(entries)
 		return nil
 	})
 }
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -64,6 +64,7 @@
 	suspects *suspect.Tracker
 	storePtr atomic.Pointer[platform.Store]
 	record   *record
+	rosters  *rosters
 	peers    *peers
 	lead     *lead
 	intake   *intake.Service
@@ -89,9 +90,6 @@
 	refused   atomic.Pointer[handover.Refusal]
 
 	reloading sync.Mutex
-	mu        sync.Mutex
-	// revisions are those of the store's entries of other hosts.
-	revisions map[string]uint64
 
 	kernel *kernel.Kernel
 	ended  sync.Once
@@ -105,12 +103,11 @@
 	}
 	n := &Node{
 		path: path, raw: raw,
-		output:    event.NewBounded(out),
-		registry:  metric.NewRegistry(),
-		table:     fleet.NewTable(),
-		suspects:  suspect.NewTracker(),
-		revisions: make(map[string]uint64),
-		kernel:    kernel.New(),
+		output:   event.NewBounded(out),
+		registry: metric.NewRegistry(),
+		table:    fleet.NewTable(),
+		suspects: suspect.NewTracker(),
+		kernel:   kernel.New(),
 	}
 	n.started = time.Now()
 	n.process = rand.Int64()
@@ -130,6 +127,7 @@
 	n.observer.watchLoads(n.registry, n.answers, n.uplink)
 	n.storePtr.Store(platform.NewStore(s.Store.Address, n.observer.storeCall))
 	n.record = newRecord(n)
+	n.rosters = newRosters(n)
 	n.peers = newPeers(n)
 	jitter := rand.Float64()
 	n.lead = &lead{node: n, jitter: jitter, cover: fleet.NewCover(rankOf(s), takeOverDelay(s, jitter))}
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -290,6 +290,17 @@
 	}
 }
 
+// tell is broadcast for what came from a node, which in a large fleet goes on to the
+// others only, and in a small one comes to them directly.
+func (p *peers) tell(n *link.News, from string) {
+	switch {
+	case !p.isSmall():
+		p.tree.send(n, from)
+	case from == "":
+		p.broadcast(n)
+	}
+}
+
 func (p *peers) broadcastHost(h fleet.Host) { p.broadcast(&link.News{Hosts: []fleet.Host{h}}) }
 
 // greeting is what a node is told when a connection opens.
@@ -357,15 +368,16 @@
 			// Its former process had heard more of the upstream.
 			reply(&link.News{Hosts: []fleet.Host{old}})
 		}
-		if p.node.merge(h, "peer "+node) && !isSmall {
-			p.tree.pass(h, node)
-		}
 	}
+	p.node.learnFrom(node, n.Hosts)
 	if len(stale.Removed) > 0 {
 		reply(stale)
 	}
 	for _, r := range n.Removed {
-		p.takeRemoval(node, r)
+		p.node.tellRemoval(fleet.Version(r), "peer "+node, node)
+	}
+	if len(n.Saved) > 0 {
+		p.takeSaved(node, n.Saved)
 	}
 	if n.Lead != "" {
 		p.takeLead(node, n)
@@ -397,18 +409,17 @@
 	}
 }
 
-// takeRemoval takes in that a host was taken away.
-func (p *peers) takeRemoval(from string, r fleet.Removal) {
-	if !p.node.remove(r, "peer "+from) || p.isSmall() {
-		return
+// takeSaved takes in that the store has records.
+func (p *peers) takeSaved(from string, versions []fleet.Version) {
+	p.node.record.takeSaved(versions)
+	if news := p.tree.newSaved(versions); len(news) > 0 {
+		p.tell(&link.News{Saved: news}, from)
 	}
-	p.node.forgetRemoved(r.Node)
-	p.tree.send(&link.News{Removed: []fleet.Removal{r}}, from)
 }
 
 // takeLead takes in that a node reads the store.
 func (p *peers) takeLead(from string, n *link.News) {
-	if !p.isSmall() && !p.tree.isNew(from, n) {
+	if n.Lead == rankOf(p.node.settings.Load()) || !p.isSmall() && !p.tree.isNew(from, n) {
 		return
 	}
 	p.node.lead.cover.Announced(time.Now(), n.Lead)
@@ -430,7 +441,7 @@
 	if n.WantHosts {
 		reply(p.tree.table())
 	}
-	if n.Digest != nil && p.tree.isContact(from) && p.tree.compare(*n.Digest) {
+	if n.Digest != nil && (p.isSmall() || p.tree.isContact(from)) && p.tree.compare(*n.Digest) {
 		reply(&link.News{WantHosts: true})
 	}
 	if len(n.Table) == 0 {
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -9,7 +9,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
-	"github.com/tarragondrum/tarragondrum/platform"
+	"github.com/tarragondrum/tarragondrum/pkg/link"
 )
 
 const (
@@ -32,18 +32,25 @@
 
 	mu   sync.Mutex
 	host fleet.Host
-	// revision is the store's one of this host's entry; 0 when there is none.
-	revision uint64
-	// saved is the change of the record that the store has.
-	saved int64
+	// saved is the newest state of the record that the store has.
+	saved fleet.Version
 	// changed is closed and replaced whenever saved or host change.
 	changed chan struct{}
-	// learned is closed once the store has told what it knows of this host.
-	learned     chan struct{}
-	learnedOnce sync.Once
-	dirty       chan struct{}
+	// learned tells that the store has told what it knows of this host.
+	learned once
+	dirty   chan struct{}
 }
 
+// once is a channel that is closed once.
+type once struct {
+	closed chan struct{}
+	first  *sync.Once
+}
+
+func newOnce() once { return once{closed: make(chan struct{}), first: new(sync.Once)} }
+
+func (o *once) done() { o.first.Do(func() { close(o.closed) }) }
+
 func newRecord(n *Node) *record {
 	s := n.settings.Load()
 	return &record{
@@ -53,7 +60,7 @@
 			Incarnation: time.Now().UnixMilli(), Size: fleet.Size(s.Node.CPUShare, s.Node.LinkMbps),
 		},
 		changed: make(chan struct{}),
-		learned: make(chan struct{}),
+		learned: newOnce(),
 		dirty:   make(chan struct{}, 1),
 	}
 }
@@ -102,31 +109,32 @@
 		return nil
 	case fleet.Unchanged:
 		r.host.Upstream = next
-		change, saved := r.host.Change, r.saved
+		version := r.host.Version()
+		isSaved := !version.After(r.saved)
 		r.mu.Unlock()
-		if next.State != fleet.StateReady && saved < change {
-			return r.waitKept(ctx, change)
+		if next.State != fleet.StateReady && !isSaved {
+			return r.waitKept(ctx, version)
 		}
 		return nil
 	}
 	r.update(func(h *fleet.Host) { h.Upstream = next })
-	change := r.host.Change
+	version := r.host.Version()
 	r.mu.Unlock()
 	r.node.log.Emit(event.UpstreamBeat, event.F("upstream", next.ID), event.F("born", next.Born), event.F("sequence", next.Sequence),
 		event.F("from", before.State), event.F("to", next.State), event.F("slots", next.Slots))
 	if next.State == fleet.StateReady {
 		return nil
 	}
-	return r.waitKept(ctx, change)
+	return r.waitKept(ctx, version)
 }
 
 // errNotKept is returned for a change that nobody else knows of yet.
 var errNotKept = errors.New("host: neither the store nor a peer has taken the change")
 
-// waitKept waits until the store has a change. If the store does not take it in
-// time, it is enough that peers were told.
-func (r *record) waitKept(ctx context.Context, change int64) error {
-	if r.waitSaved(ctx, change) || r.node.peers.connected() > 0 {
+// waitKept waits until the store has a state of the record. If the store does not take
+// it in time, it is enough that peers were told.
+func (r *record) waitKept(ctx context.Context, version fleet.Version) error {
+	if r.waitSaved(ctx, version) || r.node.peers.connected() > 0 {
 		return nil
 	}
 	return errNotKept
@@ -142,24 +150,24 @@
 
 func (r *record) waitLearned(ctx context.Context) {
 	select {
-	case <-r.learned:
+	case <-r.learned.closed:
 	default:
 		select {
-		case <-r.learned:
+		case <-r.learned.closed:
 		case <-time.After(learnWait):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (r *record) waitSaved(ctx context.Context, change int64) bool {
+func (r *record) waitSaved(ctx context.Context, version fleet.Version) bool {
 	limit := time.NewTimer(ackWait)
 	defer limit.Stop()
 	for {
 		r.mu.Lock()
 		saved, changed := r.saved, r.changed
 		r.mu.Unlock()
-		if saved >= change {
+		if !version.After(saved) {
 			return true
 		}
 		select {
@@ -172,24 +180,43 @@
 	}
 }
 
-// learn takes in what the store has of this host, if anything: a former process
-// may have known more of the upstream than this one.
-func (r *record) learn(entry *platform.HostEntry) {
-	defer r.learnedOnce.Do(func() { close(r.learned) })
-	if entry == nil || entry.Err != nil {
-		return
+// learn takes in what the store has of this host: a former process may have known more
+// of the upstream than this one.
+func (r *record) learn(h *fleet.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(h.Version())
+	r.adopt(*h)
+}
+
+// note notes a state of the record that the store has. The caller holds mu.
+func (r *record) note(v fleet.Version) {
+	if v.After(r.saved) {
+		r.saved = v
+		r.signal()
+	}
+}
+
+// noteSaved takes in records that the store has now.
+func (r *record) noteSaved(hosts []fleet.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range hosts {
+		if hosts[i].Node == r.host.Node {
+			r.note(hosts[i].Version())
+		}
 	}
+}
+
+// takeSaved takes in word of records that the store has now.
+func (r *record) takeSaved(versions []fleet.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if entry.Deleted {
-		if entry.Revision >= r.revision && r.isAnnounced() {
-			r.revision, r.saved = 0, 0
-			r.update(func(*fleet.Host) {})
+	for _, v := range versions {
+		if v.Node == r.host.Node {
+			r.note(v)
 		}
-		return
 	}
-	r.revision = max(r.revision, entry.Revision)
-	r.adopt(entry.Host)
 }
 
 // restore writes the record anew after a peer said that it was taken away, so that
@@ -253,8 +280,18 @@
 	r.node.peers.broadcastHost(r.host)
 }
 
-// keep writes the record to the store whenever it changes.
+const (
+	// ownWait is how long a node leaves it to the one that reads the store to save a
+	// changed record, and leavingWait where its upstream waits for that. Both are spread
+	// at random up to twice as long.
+	ownWait     = 3 * time.Second
+	leavingWait = 200 * time.Millisecond
+)
+
+// keep sees to it that the store gets the record whenever it changes: usually from the
+// node that reads the store, and from this one if that takes too long.
 func (r *record) keep(ctx context.Context) {
+	r.node.rosters.join(ctx)
 	pause := retryMin
 	for {
 		select {
@@ -262,76 +299,65 @@
 			return
 		case <-r.dirty:
 		}
-		for ctx.Err() == nil && !r.save(ctx) {
-			select {
-			case <-time.After(pause/2 + rand.N(pause)):
-			case <-ctx.Done():
+		for ctx.Err() == nil && !r.isSaved() {
+			r.waitForOther(ctx)
+			if r.isSaved() || r.leftToLead() {
+				break
+			}
+			if err := r.node.rosters.saveOwn(ctx); err == nil {
+				continue
 			}
-			pause = min(2*pause, retryMax)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, max(retryMax, awayPause(r.node.table.Len())))
 		}
 		pause = retryMin
 	}
 }
 
-// save writes the record once and reports whether the store has it now.
-func (r *record) save(ctx context.Context) bool {
-	r.mu.Lock()
-	h, revision, saved := r.host, r.revision, r.saved
-	r.mu.Unlock()
-	if saved >= h.Change {
-		return true
-	}
-	entry, err := r.node.store().SaveHost(ctx, h, revision)
+// isSaved reports whether the store has the record as it is.
+func (r *record) isSaved() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case err == nil:
-		r.revision, r.saved = entry.Revision, max(r.saved, h.Change)
-		r.signal()
-		r.node.log.Emit(event.StoreSaved, event.F("change", h.Change), event.F("revision", entry.Revision), event.F("state", h.Upstream.State))
-		return r.saved >= r.host.Change
-	case errors.Is(err, platform.ErrConflict) && entry.Revision > 0:
-		r.conflict(&entry, &h)
-	case errors.Is(err, platform.ErrNotFound):
-		r.revision = 0
-	default:
-		r.node.log.Emit(event.StoreSaveFail, event.F("change", h.Change), event.F("error", err))
-		return false
-	}
-	return r.saved >= r.host.Change
+	v := r.host.Version()
+	return !v.After(r.saved)
 }
 
-// conflict takes in the entry that lies in the store instead. The caller holds mu.
-func (r *record) conflict(entry *platform.HostEntry, sent *fleet.Host) {
-	r.revision = entry.Revision
-	if entry.Err != nil {
-		return
+// leftToLead reports whether the record can be left to the node that reads the store,
+// which does not tell when it has saved it: nobody waits for it, and whoever leads next
+// saves what is not.
+func (r *record) leftToLead() bool {
+	return r.current().Upstream.State == fleet.StateReady && r.node.lead.isCovered(time.Now())
+}
+
+// waitForOther waits for the node that reads the store to save the record.
+func (r *record) waitForOther(ctx context.Context) {
+	wait := ownWait
+	if r.current().Upstream.State != fleet.StateReady {
+		wait = leavingWait
 	}
-	known := entry.Host
-	switch {
-	case known.Incarnation == sent.Incarnation && known.Change >= sent.Change:
-		// An earlier write whose answer was lost was done.
-		r.saved = max(r.saved, known.Change)
-		r.signal()
-	case known.Incarnation >= r.host.Incarnation && known.Incarnation != sent.Incarnation:
-		r.host.Incarnation = known.Incarnation + 1
-		r.host.Change++
-		r.node.table.Merge(r.host)
+	limit := time.NewTimer(wait + rand.N(wait))
+	defer limit.Stop()
+	for !r.isSaved() {
+		r.mu.Lock()
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// withdraw removes the entry of a host whose upstream has ended.
-func (r *record) withdraw(ctx context.Context) {
-	r.mu.Lock()
-	revision, gone := r.revision, r.host.Upstream.State == fleet.StateGone
-	name := r.host.Node
-	r.mu.Unlock()
-	if !gone || revision == 0 {
-		return
-	}
-	if err := r.node.store().RemoveHost(ctx, name, revision); err != nil {
-		r.node.log.Emit(event.StoreSaveFail, event.F("remove", name), event.F("error", err))
+// withdraw tells others to forget a host whose upstream has ended.
+func (r *record) withdraw() {
+	h := r.current()
+	if h.Upstream.State != fleet.StateGone {
 		return
 	}
-	r.node.log.Emit(event.StoreRemoved, event.F("host", name), event.F("revision", revision))
+	v := h.Version()
+	r.node.peers.broadcast(&link.News{Removed: []fleet.Removal{fleet.Removal(v)}})
+	r.node.log.Emit(event.HostWithdrawn, event.F("host", h.Node), event.F("incarnation", h.Incarnation), event.F("change", h.Change))
 }
--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
@@ -42,9 +41,7 @@
 	for time.Now().Before(limit) && n.outbound.Pending()+n.intake.Running() > 0 {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), graceMargin/2)
-	defer cancel()
-	n.record.withdraw(ctx)
+	n.record.withdraw()
 	n.log.Emit(event.ProcessStopped, event.F("pending", n.outbound.Pending()), event.F("running", n.intake.Running()),
 		event.F("tookMs", time.Since(start).Milliseconds()))
 	n.Kill()
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -41,6 +41,8 @@
 	// relayed waits to be told to others than those it came from.
 	relayed map[string]relay
 	timer   *time.Timer
+	// saved is the newest word that the store has a record, by host.
+	saved map[string]fleet.Version
 }
 
 // announcement tells announcements of one lead apart.
@@ -62,6 +64,7 @@
 		followers: make(map[string]func(*link.News) bool),
 		heard:     make(map[string]announcement),
 		relayed:   make(map[string]relay),
+		saved:     make(map[string]fleet.Version),
 	}
 	t.timer = time.AfterFunc(time.Hour, t.flush)
 	return t
@@ -189,6 +192,7 @@
 	t.mu.Lock()
 	t.number++
 	n := t.number
+	t.heard[rank] = announcement{t.run, n} // it may come back over another way
 	t.mu.Unlock()
 	t.send(t.announcement(rank, t.run, n), "")
 }
@@ -215,6 +219,20 @@
 	return true
 }
 
+// newSaved returns what was not heard yet of records that the store has.
+func (t *tree) newSaved(versions []fleet.Version) []fleet.Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []fleet.Version
+	for _, v := range versions {
+		if last, ok := t.saved[v.Node]; !ok || v.After(last) {
+			t.saved[v.Node] = v
+			news = append(news, v)
+		}
+	}
+	return news
+}
+
 // compare takes in the digest of a contact's table, and reports whether this node
 // should ask for the table.
 func (t *tree) compare(digest uint64) bool {
@@ -278,18 +296,10 @@
 		return nil, err
 	}
 	theirs := make(map[string]fleet.Host, len(hosts))
-	var learned []string
 	for _, h := range hosts {
 		theirs[h.Node] = h
-		if _, removed := t.node.table.Removed(h); !removed && t.node.mergeQuietly(h) {
-			learned = append(learned, h.Node)
-			t.pass(h, from)
-		}
-	}
-	if len(learned) > 0 {
-		t.node.log.Emit(event.HostsLearned, event.F("source", "peer "+from), event.F("count", len(learned)), event.F("hosts", learned))
-		t.node.peers.followSoon()
 	}
+	t.node.learnFrom(from, hosts)
 	missing := &link.News{}
 	for _, h := range t.node.table.All() {
 		if known, ok := theirs[h.Node]; !ok || h.IsNewer(&known) {
--- a/pkg/host/tree_test.go
+++ b/pkg/host/tree_test.go
@@ -85,6 +85,25 @@
 	is.Equal(second.count(func(n *link.News) bool { return len(n.Crashes) == 1 }), 1)
 }
 
+// An announcement that comes back to its lead does not end its lead, and goes nowhere
+// else.
+func TestOwnAnnouncementComesBack(t *testing.T) {
+	is := is.New(t)
+	n := newLargeNode(t)
+	var neighbour, other heard
+	n.peers.news("b-001", &link.News{Follow: true}, neighbour.take)
+	n.peers.news("b-002", &link.News{Follow: true}, other.take)
+	n.lead.cover.Set(0, fleet.RelayedFor)
+	is.True(n.lead.cover.Leads(time.Now()))
+	n.lead.announce()
+	back := neighbour.news[len(neighbour.news)-1]
+	is.True(back.Lead != "")
+	told := len(other.news)
+	n.peers.news("b-001", back, neighbour.take)
+	is.True(n.lead.cover.Leads(time.Now()))
+	is.Equal(len(other.news), told)
+}
+
 // A node that missed a record notices by the digest of its hub's table, asks for the
 // table, and tells what the hub has missed.
 func TestDigestsFindWhatWasMissed(t *testing.T) {
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -4,6 +4,7 @@
 package hostconf
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,6 +33,8 @@
 		// gives the process.
 		CPUShare float64 `json:"cpuShare"`
 		LinkMbps float64 `json:"linkMbps"`
+		// FirstStart tells that the whole system starts for the first time.
+		FirstStart bool `json:"firstStart"`
 	} `json:"node"`
 	Upstream struct {
 		Address string `json:"address"`
@@ -134,7 +137,7 @@
 
 // Parse reads and checks settings. All faults are reported together.
 func Parse(data []byte) (*Settings, error) {
-	plain, err := hujson.Standardize(data)
+	plain, err := hujson.Standardize(bytes.Clone(data)) // it works in place
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -158,8 +158,8 @@
 	// Run and Number tell announcements of a lead apart: those of one process count up.
 	Run    int64  `cbor:"10,keyasint,omitempty"`
 	Number uint64 `cbor:"11,keyasint,omitempty"`
-	// LeadEnded is the rank of a node that reads the store no more.
-	LeadEnded string `cbor:"12,keyasint,omitempty"`
+	// Saved are records that the store has now and whose hosts wait for that.
+	Saved []fleet.Version `cbor:"12,keyasint,omitempty"`
 	// Digest is that of the sender's table of hosts.
 	Digest *uint64 `cbor:"13,keyasint,omitempty"`
 	// WantHosts asks for the whole table, and Table is one, compressed.
