--- a/pkg/host/tree_test.go
+++ b/pkg/host/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,14 +18,21 @@
 }
 
 // heard collects what a node tells a neighbour.
-type heard struct{ news []*link.News }
+type heard struct {
+	mu   sync.Mutex
+	news []*link.News
+}
 
 func (h *heard) take(n *link.News) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.news = append(h.news, n)
 	return true
 }
 
 func (h *heard) count(is func(n *link.News) bool) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	count := 0
 	for _, n := range h.news {
 		if is(n) {
