Send an order only to a node that gives a sign of life; bound the stop as a whole

Cause: orders that were sent on a connection whose other end had frozen or lost power waited to their deadline, since only that node could have said whether they ran (loss of power, cuts).

Change: an order to a peer that was not heard for 300 ms is preceded by a ping; without an answer in 250 ms it was not sent and goes elsewhere. All services stop within 200 ms together. A histogram tells how long short messages wait for their connection. Lines of refused calls name the rank.

Tests that fail without it: TestOrderIsNotSentToASilentNode, TestStopOfAllIsBounded, TestCloseOfAStuckOutput.

--- a/pkg/event/bounded.go
+++ b/pkg/event/bounded.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -87,10 +89,14 @@
 // Dropped returns the number of lines dropped since the last call.
 func (b *Bounded) Dropped() uint64 { return b.dropped.Swap(0) }
 
-// Close waits until the queued lines are written. Later ones are dropped. It must
-// be called once.
-func (b *Bounded) Close() error {
+// Close waits until the queued lines are written, or until ctx is done where the output
+// is stuck. Later ones are dropped. It must be called once.
+func (b *Bounded) Close(ctx context.Context) error {
 	close(b.ending)
-	<-b.done
-	return nil
+	select {
+	case <-b.done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("output of the log is stuck: %w", ctx.Err())
+	}
 }
--- a/pkg/event/bounded_test.go
+++ b/pkg/event/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	is.True(dropped > 0)
 	is.Equal(b.Dropped(), uint64(0))
 	close(out.open)
-	is.NoErr(b.Close())
+	is.NoErr(b.Close(t.Context()))
 	is.Equal(strings.Count(out.text.String(), "\n")+int(dropped), lines)
 }
 
@@ -50,8 +51,21 @@
 	b := event.NewBounded(&out)
 	_, err := b.Write([]byte("first\n"))
 	is.NoErr(err)
-	is.NoErr(b.Close())
+	is.NoErr(b.Close(t.Context()))
 	_, err = b.Write([]byte("late\n"))
 	is.NoErr(err)
 	is.Equal(out.String(), "first\n")
 }
+
+// An output that stays stuck does not hold up the end of the process.
+func TestCloseOfAStuckOutput(t *testing.T) {
+	is := is.New(t)
+	b := event.NewBounded(&blocked{open: make(chan struct{})})
+	_, err := b.Write([]byte("line\n"))
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	is.True(b.Close(ctx) != nil)
+	is.True(time.Since(start) < time.Second)
+}
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -25,6 +25,9 @@
 // latencyBuckets are in seconds.
 var latencyBuckets = []float64{.002, .005, .01, .025, .05, .1, .2, .35, .5, .75, 1, 1.5, 2, 3, 5}
 
+// waitBuckets are in seconds.
+var waitBuckets = []float64{.001, .003, .01, .03, .1, .3, 1}
+
 // observer counts and logs what becomes of requests.
 type observer struct {
 	log       *event.Log
@@ -38,6 +41,7 @@
 	opened    prometheus.Counter
 	seconds   *prometheus.HistogramVec
 	waits     *prometheus.HistogramVec
+	linkWaits prometheus.Observer
 	// unknownKinds counts the routes of each version whose kind is not known.
 	unknownKinds prometheus.Counter
 }
@@ -54,6 +58,7 @@
 		store:        metric.Counter(r, "store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome"),
 		opened:       metric.Counter(r, "upstream_connections_total", "Connections opened to the upstream of this host.").WithLabelValues(),
 		seconds:      metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
+		linkWaits:    metric.Histogram(r, "link_wait_seconds", "Time that short messages to other nodes wait to be written.", waitBuckets).WithLabelValues(),
 		unknownKinds: metric.Counter(r, "unknown_route_kinds_total", "Routes of a kind that is not known, in all versions put in force.").WithLabelValues(),
 		waits:        metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
 	}
@@ -126,7 +131,7 @@
 	if !o.allow(o.failures) {
 		return
 	}
-	o.log.Emit(e, event.F("request", requestID), event.F("route", c.Route), event.F("upstream", c.UpstreamID),
+	o.log.Emit(e, event.F("request", requestID), event.F("route", c.Route), event.F("priority", c.Priority), event.F("upstream", c.UpstreamID),
 		event.F("reason", a.Reason), event.F("outcome", a.Outcome), event.F("arrived", a.Arrived),
 		event.F("waitedMs", t.Waited.Milliseconds()), event.F("tookMs", t.Took.Milliseconds()), event.F("leftMs", c.LeftMs),
 		event.F("running", a.Load.Running), event.F("queued", a.Load.Queued), event.F("slots", a.Load.Slots),
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -31,7 +31,7 @@
 	metricsName  = "metrics"
 )
 
-// serviceStopTime bounds the stop of one service; what it waits for is in the
+// serviceStopTime bounds the stop of all services; what they wait for is in the
 // process itself.
 const serviceStopTime = 200 * time.Millisecond
 
@@ -97,7 +97,7 @@
 func (n *Node) services() []kernel.Service {
 	s := n.settings.Load()
 	return []kernel.Service{
-		&part{name: logName, open: func() error { return nil }, close: func(context.Context) error { return n.output.Close() }},
+		&part{name: logName, open: func() error { return nil }, close: func(ctx context.Context) error { return n.output.Close(ctx) }},
 		&part{name: storeName, needs: []string{logName}, open: func() error { return nil }, close: func(context.Context) error {
 			n.store().Close()
 			return nil
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -95,17 +95,17 @@
 	return nil
 }
 
-// Stop stops the started services in reverse order. Each one has the given
-// timeout. All are stopped even if some report an error.
+// Stop stops the started services in reverse order, all within the given timeout. All
+// are stopped even if some report an error.
 func (k *Kernel) Stop(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	var errs []error
 	for i := len(k.started) - 1; i >= 0; i-- {
 		s := k.started[i]
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		if err := s.Stop(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("stop %q: %w", s.Name(), err))
 		}
-		cancel()
 	}
 	k.started = nil
 	return errors.Join(errs...)
--- a/pkg/kernel/kernel_test.go
+++ b/pkg/kernel/kernel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,3 +98,27 @@
 	_, err = kernel.Lookup[kernel.Service](k, "b")
 	is.True(errors.Is(err, kernel.ErrMissing))
 }
+
+// Services that do not stop in time share one bound, however many they are.
+func TestStopOfAllIsBounded(t *testing.T) {
+	is := is.New(t)
+	k := kernel.New()
+	for i := range 8 {
+		is.NoErr(k.Register(&stuck{name: fmt.Sprint("stuck-", i)}))
+	}
+	is.NoErr(k.Start(context.Background(), time.Second))
+	start := time.Now()
+	is.True(k.Stop(100*time.Millisecond) != nil)
+	is.True(time.Since(start) < 400*time.Millisecond)
+}
+
+// stuck is a service that stops only when it has to.
+type stuck struct{ name string }
+
+func (s *stuck) Name() string                                { return s.name }
+func (s *stuck) Needs() []string                             { return nil }
+func (s *stuck) Start(context.Context, *kernel.Kernel) error { return nil }
+func (s *stuck) Stop(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -359,3 +359,23 @@
 	open, _ := p.peer.Connected()
 	is.True(open)
 }
+
+// An order is not sent to a node that gives no sign of life: it has not run and may go
+// elsewhere. Lookups are sent at once.
+func TestOrderIsNotSentToASilentNode(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, slow(0))
+	call := func(idempotent bool) error {
+		_, err := p.peer.Call(context.Background(), &link.Call{Target: "/x", LeftMs: 2000, Idempotent: idempotent}, 100*time.Millisecond)
+		return err
+	}
+	is.NoErr(call(false))
+	time.Sleep(500 * time.Millisecond)
+	is.NoErr(call(false)) // a silence without calls is no sign of death
+	time.Sleep(500 * time.Millisecond)
+	p.relay.silent.Store(true)
+	start := time.Now()
+	is.True(errors.Is(call(false), link.ErrNotSent))
+	is.True(time.Since(start) < 600*time.Millisecond)
+	is.Equal(p.runs.Load(), int32(2))
+}
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -61,6 +61,8 @@
 	Uplink *pace.Uplink
 	// Answers bounds the large answers that are held.
 	Answers *memory.Budget
+	// Waited is told how long short messages waited to be written; nil is not.
+	Waited func(time.Duration)
 }
 
 // scheme returns the scheme of the addresses that are dialled.
@@ -190,6 +192,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// An order that is sent to a node which is gone cannot be sent to another one.
+	if !c.Idempotent && !s.isAlive(ctx) {
+		return nil, fmt.Errorf("%s: no sign of life within %s: %w", p.node, aliveWait, ErrNotSent)
+	}
 	c.Incarnation = s.incarnation
 	o := &openCall{call: c, answer: make(chan *Answer, 1), sentAt: time.Now()}
 	p.mu.Lock()
@@ -338,7 +344,7 @@
 		_ = ws.CloseNow()
 		return nil, fmt.Errorf("connect to %s at %s: incarnation: %w", p.node, p.address, err)
 	}
-	s := newSession(p.ctx, ws, p.self.Uplink)
+	s := newSession(p.ctx, ws, &p.self)
 	s.incarnation = incarnation
 	go s.writeLoop()
 	p.self.Pulse.watch(s, p.busy)
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return // Accept has answered
 	}
-	session := newSession(s.ctx, ws, s.Self.Uplink)
+	session := newSession(s.ctx, ws, &s.Self)
 	c.mu.Lock()
 	old := c.session
 	c.session = session
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,7 @@
 // session is one open connection to another node.
 type session struct {
 	ws     *websocket.Conn
-	out    chan *frame
+	out    chan queued
 	uplink *pace.Uplink
 	// large holds the large answers that wait to be written, in their order.
 	large  transfers
@@ -40,11 +41,25 @@
 	// heard is when the last frame came in, as nanoseconds since start.
 	heard atomic.Int64
 	start time.Time
+	// waited is told how long short frames waited to be written, if it is not nil.
+	waited func(time.Duration)
+
+	mu sync.Mutex
+	// pong is closed with the next frame that comes in, nil if nobody waits for one, and
+	// silentAt is when somebody waited in vain.
+	pong     chan struct{}
+	silentAt time.Time
+}
+
+// queued is a short frame that waits to be written.
+type queued struct {
+	*frame
+	at time.Time
 }
 
-func newSession(ctx context.Context, ws *websocket.Conn, uplink *pace.Uplink) *session {
+func newSession(ctx context.Context, ws *websocket.Conn, self *Identity) *session {
 	ws.SetReadLimit(maxFrameBytes)
-	s := &session{ws: ws, out: make(chan *frame, sendQueue), uplink: uplink, start: time.Now()}
+	s := &session{ws: ws, out: make(chan queued, sendQueue), uplink: self.Uplink, start: time.Now(), waited: self.Waited}
 	s.large.added = make(chan struct{}, 1)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	return s
@@ -68,7 +83,7 @@
 	default:
 	}
 	select {
-	case s.out <- f:
+	case s.out <- queued{f, time.Now()}:
 		return true
 	default:
 		s.cancel(fmt.Errorf("link: %d frames wait to be written", sendQueue))
@@ -99,8 +114,8 @@
 func (s *session) nextFrame(timer *time.Timer) (*frame, error) {
 	for {
 		select {
-		case f := <-s.out:
-			return f, nil
+		case q := <-s.out:
+			return s.dequeue(q), nil
 		default:
 		}
 		var due <-chan time.Time
@@ -112,8 +127,8 @@
 		select {
 		case <-s.ctx.Done():
 			return nil, context.Cause(s.ctx)
-		case f := <-s.out:
-			return f, nil
+		case q := <-s.out:
+			return s.dequeue(q), nil
 		case <-due:
 			return s.large.next(t), nil
 		case <-s.large.added:
@@ -121,6 +136,13 @@
 	}
 }
 
+func (s *session) dequeue(q queued) *frame {
+	if s.waited != nil {
+		s.waited(time.Since(q.at))
+	}
+	return q.frame
+}
+
 func (s *session) write(f *frame) error {
 	data, err := encode(f)
 	if err != nil {
@@ -143,6 +165,7 @@
 			return
 		}
 		s.heard.Store(int64(time.Since(s.start)))
+		s.answered()
 		f, err := decode(data)
 		if err != nil {
 			s.cancel(err)
@@ -161,6 +184,61 @@
 	}
 }
 
+// answered wakes those that wait for a sign of the peer.
+func (s *session) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pong != nil {
+		close(s.pong)
+		s.pong = nil
+	}
+}
+
+const (
+	// freshFor is how long after a peer was heard an order is sent to it without asking
+	// first whether it lives, and aliveWait how long it has to answer that. A node with a
+	// sixth of a core and full of work answers within some 100 ms.
+	freshFor  = 300 * time.Millisecond
+	aliveWait = 250 * time.Millisecond
+	// silentFor is how long a peer that did not answer counts as gone for orders, until
+	// it is heard or asked again.
+	silentFor = time.Second
+)
+
+// isAlive reports whether the peer was heard just now or answers a ping.
+func (s *session) isAlive(ctx context.Context) bool {
+	if time.Since(s.start)-time.Duration(s.heard.Load()) < freshFor {
+		return true
+	}
+	s.mu.Lock()
+	if time.Since(s.silentAt) < silentFor && s.pong != nil {
+		s.mu.Unlock()
+		return false
+	}
+	first := s.pong == nil
+	if first {
+		s.pong = make(chan struct{})
+	}
+	pong := s.pong
+	s.mu.Unlock()
+	if first && !s.send(&frame{Kind: kindPing}) {
+		return false
+	}
+	limit := time.NewTimer(aliveWait)
+	defer limit.Stop()
+	select {
+	case <-pong:
+		return true
+	case <-limit.C:
+		s.mu.Lock()
+		s.silentAt = time.Now()
+		s.mu.Unlock()
+	case <-s.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // verdict is what follows a look at a connection.
 type verdict int
 
