Answer what has come before a stop, catch unexpected errors at the edges, and doubt held-up heartbeats

Cause, of what operators of similar systems reported, looked for here: a stopping node closed its listener and its idle connections at once; a connection that was not accepted yet was reset, and so was one whose bytes were in the socket or had just been read (shown by a test: 20 rounds, each with 40 callers, some reset in every run). A panic in the handling of a call, a message of a node or a loop ended the process. A node that starts while the store is away took a heartbeat that was held up since before its upstream left for a sign of life.

While neither the store nor a peer has told of the upstream, a second heartbeat a second later is needed. An answer without an id on a used connection, and copies with one, reach nobody, also when they come after the next request was sent.

Tests that fail without it: TestRetireAnswersWhatHasCome, TestPanicEndsOneRequest, TestPanicEndsOneCall, TestHeldUpHeartbeatBringsNobodyBack.

Conclusion: two of the reports could happen here and are mended, one could while the store was away.

--- a/pkg/dispatch/answer.go
+++ b/pkg/dispatch/answer.go
@@ -49,6 +49,9 @@
 	return &h1.Response{Status: status, Header: h, Body: []byte(`{"reason":"` + reason + `"}`)}
 }
 
+// Broken is the answer to a request whose handling failed unexpectedly: it may have run.
+func Broken() *h1.Response { return refusal(http.StatusBadGateway, ReasonInternal, 0) }
+
 // Unreadable is the answer to a request that cannot be read whole.
 func Unreadable(status int, _ error) *h1.Response {
 	if status == http.StatusServiceUnavailable {
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -26,6 +26,7 @@
 	ReasonLost       = "node-lost"
 	ReasonUnreadable = "request-unreadable"
 	ReasonNoMemory   = link.ReasonNoMemory
+	ReasonInternal   = link.ReasonInternal
 )
 
 const (
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -207,3 +207,28 @@
 	is.True(errors.Is(failure, context.DeadlineExceeded))
 	is.True(time.Since(start) < 2*time.Second)
 }
+
+// A second copy of an answer that comes when the connection is in use again, with or
+// without the id, is nobody's answer.
+func TestLateCopyIsNoAnswer(t *testing.T) {
+	for name, copyID := range map[string]string{"with its id": "r0", "without an id": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, conns := script(t, func(c net.Conn, id string, _ []byte) {
+				if id == "r1" {
+					// The copy comes after the next request has been sent.
+					write(c, strings.Replace(answer(copyID, "answer to r0"), idHeader+": \r\n", "", 1))
+				}
+				write(c, answer(id, "answer to "+id))
+			})
+			pool := h1.NewPool(address, memory.New(1<<20), func() {})
+			for i := range 4 {
+				id := fmt.Sprint("r", i)
+				r, failure := pool.Exchange(context.Background(), request(id), idHeader, false)
+				is.True(failure == nil)
+				is.Equal(string(r.Body), "answer to "+id)
+			}
+			is.Equal(conns.Load(), int32(2)) // the connection with the copy is not used again
+		})
+	}
+}
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
 )
@@ -43,6 +44,10 @@
 	Handle Handler
 	// Refuse returns the answer to a request that cannot be read whole.
 	Refuse func(status int, err error) *Response
+	// Broken returns the answer to a request whose handler failed unexpectedly, and
+	// Panicked is told of it.
+	Broken   func() *Response
+	Panicked guard.Report
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Memory bounds the bytes of all requests that are held.
@@ -54,6 +59,7 @@
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
 	draining bool
+	retiring bool
 	lastRead time.Time
 	done     sync.WaitGroup
 }
@@ -82,10 +88,18 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if s.isRetiring() {
+				_ = s.listener.Close() // nobody has come for retireGrace
+				return
+			}
 			// For example too many open files; the next accept may succeed.
 			time.Sleep(acceptPause)
 			continue
 		}
+		if s.isRetiring() {
+			// More may wait in the queue of the listener.
+			s.acceptUntil(time.Now().Add(retireGrace))
+		}
 		sc := newServerConn(s, c)
 		s.mu.Lock()
 		s.conns[sc] = struct{}{}
@@ -93,7 +107,9 @@
 		s.done.Add(1)
 		go func() {
 			defer s.done.Done()
-			sc.serve()
+			if guard.Run("caller's connection", s.Panicked, sc.serve) != nil {
+				_ = c.Close()
+			}
 			s.mu.Lock()
 			delete(s.conns, sc)
 			s.mu.Unlock()
@@ -104,6 +120,23 @@
 // acceptPause follows a failed accept, so that the error does not spin.
 const acceptPause = 10 * time.Millisecond
 
+// retireGrace is how long the listener of a retiring server takes connections that
+// callers had opened before: closing it would reset those that it has not accepted yet.
+const retireGrace = 30 * time.Millisecond
+
+func (s *Server) isRetiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retiring
+}
+
+// acceptUntil bounds the wait for the next connection.
+func (s *Server) acceptUntil(t time.Time) {
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = l.SetDeadline(t) // it fails only on a closed listener
+	}
+}
+
 // Drain answers what has been read and ends each connection with its next
 // answer. New connections are still served, one request each.
 func (s *Server) Drain() {
@@ -143,16 +176,16 @@
 	return n
 }
 
-// Retire takes no new connections and closes the idle ones. What has been read
-// is still answered.
-func (s *Server) Retire() error {
-	err := s.listener.Close()
+// Retire closes the idle connections, and the listener when it has taken those that
+// were opened before. What has been read is still answered.
+func (s *Server) Retire() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.retiring = true
 	for c := range s.conns {
 		c.closeIdle()
 	}
-	return err
+	s.mu.Unlock()
+	s.acceptUntil(time.Now().Add(retireGrace))
 }
 
 // Close closes the listener and every connection.
--- a/pkg/h1/server_test.go
+++ b/pkg/h1/server_test.go
@@ -27,6 +27,7 @@
 		Limits: func() h1.Limits {
 			return h1.Limits{HeaderBytes: 2048, BodyBytes: 10_000, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 500 * time.Millisecond}
 		},
+		Broken: func() *h1.Response { return &h1.Response{Status: 502, Header: http.Header{}} },
 		Memory: memory.New(1 << 20),
 	}
 	if err := s.Listen("127.0.0.1:0"); err != nil {
@@ -154,7 +155,7 @@
 	}
 	idle, idleReader := dial(t, s.Address(), "")
 	s.Drain()
-	is.NoErr(s.Retire())
+	s.Retire()
 	close(release)
 	_, first, closes := read(t, r)
 	is.Equal(first, "GET /1 ")
@@ -189,3 +190,59 @@
 	status, _, _ = read(t, r)
 	is.Equal(status, 200)
 }
+
+// Requests that came just before the server retires are answered: on connections that
+// it had not accepted yet, on those whose bytes it had not read, and half read ones.
+func TestRetireAnswersWhatHasCome(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		release := make(chan struct{})
+		s := serve(t, func(ctx context.Context, q *h1.Request) *h1.Response {
+			if q.Path != "/first" {
+				<-release
+			}
+			return echo(ctx, q)
+		})
+		const callers = 40
+		readers := make([]*bufio.Reader, callers)
+		kept, keptReader := dial(t, s.Address(), "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, _, _ = read(t, keptReader)
+		half, halfReader := dial(t, s.Address(), "GET /half HTTP/1.1\r\nHo")
+		for i := range callers {
+			_, readers[i] = dial(t, s.Address(), fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i))
+		}
+		_, err := io.WriteString(kept, "GET /again HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		s.Drain()
+		s.Retire()
+		close(release)
+		_, err = io.WriteString(half, "st: h\r\n\r\n")
+		is.NoErr(err)
+		for i := range callers {
+			_, body, closes := read(t, readers[i])
+			is.Equal(body, fmt.Sprintf("GET /%d ", i))
+			is.True(closes)
+		}
+		_, body, _ := read(t, keptReader)
+		is.Equal(body, "GET /again ")
+		_, body, _ = read(t, halfReader)
+		is.Equal(body, "GET /half ")
+	}
+}
+
+// A handler that fails unexpectedly ends its own request only.
+func TestPanicEndsOneRequest(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(ctx context.Context, q *h1.Request) *h1.Response {
+		if q.Path == "/bad" {
+			panic("unexpected")
+		}
+		return echo(ctx, q)
+	})
+	_, r := dial(t, s.Address(), "GET /bad HTTP/1.1\r\nHost: h\r\n\r\nGET /good HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, _, _ := read(t, r)
+	is.Equal(status, 502)
+	status, body, _ := read(t, r)
+	is.Equal(status, 200)
+	is.Equal(body, "GET /good ")
+}
--- a/pkg/h1/serverconn.go
+++ b/pkg/h1/serverconn.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
+	"github.com/tarragondrum/tarragondrum/pkg/sock"
 )
 
 // Errors of requests that cannot be read whole.
@@ -143,7 +145,7 @@
 		}
 		c.mu.Unlock()
 		c.queue <- p
-		go func() { p.deliver(c.server.Handle(ctx, q.Request)) }()
+		go c.handle(ctx, q.Request, p)
 		if p.last {
 			_ = c.conn.SetReadDeadline(time.Time{})
 			return
@@ -151,6 +153,15 @@
 	}
 }
 
+// handle answers a request.
+func (c *serverConn) handle(ctx context.Context, q *Request, p *pending) {
+	var answer *Response
+	if guard.Run("request", c.server.Panicked, func() { answer = c.server.Handle(ctx, q) }) != nil {
+		answer = c.server.Broken()
+	}
+	p.deliver(answer)
+}
+
 // waitForRequest waits for the first byte of a request. It returns false when
 // the connection has ended, was idle for too long, or is closing.
 func (c *serverConn) waitForRequest() bool {
@@ -255,14 +266,16 @@
 	}
 }
 
-// closeIdle closes the connection if no request has begun on it. A request that
-// crosses the close has not been read.
+// closeIdle ends the wait for a request if none has come. One that crosses the close
+// has not been read; one whose bytes are here already is read and answered.
 func (c *serverConn) closeIdle() {
+	if waiting, err := sock.Peek(c.conn); err == nil && waiting == sock.Bytes {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting == 0 && !c.reading {
-		c.closing = true
-		_ = c.conn.Close()
+		_ = c.conn.SetReadDeadline(time.Now()) // it fails only on a closed connection
 	}
 }
 
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/hostconf"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/platform"
@@ -95,7 +96,7 @@
 			l.node.log.Emit(event.LeadStarted)
 			go l.readConfig(reading)
 			go l.readHosts(reading)
-			go l.node.rosters.keep(reading)
+			go l.guarded(reading, "rosters", l.node.rosters.keep)
 			go l.watch(reading)
 		}
 		if now.Sub(announcedAt) >= l.interval() && l.fresh(now) {
@@ -110,6 +111,13 @@
 	}
 }
 
+// guarded runs a loop and begins it anew after an unexpected error.
+func (l *lead) guarded(ctx context.Context, name string, run func(ctx context.Context)) {
+	for guard.Run(name, l.node.panicked, func() { run(ctx) }) != nil && ctx.Err() == nil {
+		sleep(ctx, loopPause)
+	}
+}
+
 // joinTime is how long a node waits until it has joined before it looks for a lead: it
 // knows no other node before.
 const joinTime = 3 * time.Second
@@ -355,7 +363,9 @@
 func (l *lead) repeat(ctx context.Context, interval time.Duration, longest func() time.Duration, step func() error) {
 	pause := retryMin
 	for ctx.Err() == nil {
-		if err := step(); err != nil {
+		var err error
+		panicked := guard.Run("step of a lead", l.node.panicked, func() { err = step() })
+		if err != nil || panicked != nil {
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, max(retryMax, longest()))
 			continue
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -139,9 +139,11 @@
 			n.log.Emit(event.RequestUnread, event.F("status", status), event.F("error", err))
 			return dispatch.Unreadable(status, err)
 		},
-		Limits: n.limits,
-		Memory: memory.New(int64(bodyShare * float64(s.Node.MemoryMB) * (1 << 20))),
-		Uplink: n.uplink,
+		Broken:   func() *h1.Response { return dispatch.Broken() },
+		Panicked: n.panicked,
+		Limits:   n.limits,
+		Memory:   memory.New(int64(bodyShare * float64(s.Node.MemoryMB) * (1 << 20))),
+		Uplink:   n.uplink,
 	}
 	if err := n.kernel.Register(n.services()...); err != nil {
 		return nil, fmt.Errorf("host: %w", err)
@@ -202,6 +204,13 @@
 	})
 }
 
+// panicked is told of an unexpected error that was caught at the edge of a piece of
+// work.
+func (n *Node) panicked(where string, value any, stack []byte) {
+	n.observer.panics.WithLabelValues(where).Inc()
+	n.log.Emit(event.PanicCaught, event.F("where", where), event.F("value", fmt.Sprint(value)), event.F("stack", string(stack)))
+}
+
 func (n *Node) store() *platform.Store { return n.storePtr.Load() }
 
 // staleAnswer is given to a call that may have run on an earlier process.
--- a/pkg/host/host_test.go
+++ b/pkg/host/host_test.go
@@ -333,3 +333,36 @@
 	c.eventually("refused", func() bool { return strings.Contains(m.log.String(), `"settings-refused"`) })
 	is.Equal(c.get(m, "/desk/x", "after").status, http.StatusOK)
 }
+
+// An upstream whose answers never end costs its own requests only: they end as unknown
+// long before their time, its standing falls, and lookups are answered by another.
+func TestEndlessAnswersEnd(t *testing.T) {
+	for name, does := range map[string]standin.Behaviour{
+		"header":         {Endless: "HTTP/1.1 200 OK\r\n", Repeated: "X-More: more\r\n"},
+		"body":           {Endless: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Repeated: "5\r\nhello\r\n"},
+		"no HTTP at all": {Repeated: "\x00\xff"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 4)
+			c.hosts[0].Upstream.SetBehaviour(does)
+			c.hosts[2].Upstream.SetBehaviour(does)
+			start := time.Now()
+			is.Equal(c.order(c.hosts[1], "order").status, http.StatusBadGateway)
+			is.True(time.Since(start) < 900*time.Millisecond)
+			is.Equal(c.ran("order"), 1)
+			c.hosts[2].Upstream.SetBehaviour(standin.Behaviour{})
+			var calls sync.WaitGroup
+			for i := range 40 {
+				calls.Add(1)
+				go func() {
+					defer calls.Done()
+					if r := c.get(c.hosts[i%4], "/desk/x", fmt.Sprintf("beside-%d", i)); r.status != http.StatusOK {
+						t.Errorf("status %d, %v", r.status, r.err)
+					}
+				}()
+			}
+			calls.Wait()
+		})
+	}
+}
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -42,6 +42,7 @@
 	seconds   *prometheus.HistogramVec
 	waits     *prometheus.HistogramVec
 	linkWaits prometheus.Observer
+	panics    *prometheus.CounterVec
 	// unknownKinds counts the routes of each version whose kind is not known.
 	unknownKinds prometheus.Counter
 }
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -70,7 +70,8 @@
 	return link.Identity{
 		Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.process },
 		Pulse: p.pulse, Credentials: p.node.credentials, Uplink: p.node.uplink, Answers: p.node.answers,
-		Waited: func(d time.Duration) { p.node.observer.linkWaits.Observe(d.Seconds()) },
+		Panicked: p.node.panicked,
+		Waited:   func(d time.Duration) { p.node.observer.linkWaits.Observe(d.Seconds()) },
 	}
 }
 
--- a/pkg/host/peers_test.go
+++ b/pkg/host/peers_test.go
@@ -94,3 +94,24 @@
 	is.True(!others.Remove(removal)) // it was not known, and is remembered
 	is.True(others.Merge(first))
 }
+
+// While neither the store nor a peer has told of the upstream, a heartbeat that was held
+// up since before it left does not bring it back; one that lives is used soon.
+func TestHeldUpHeartbeatBringsNobodyBack(t *testing.T) {
+	is := is.New(t)
+	n := newPlainNode(t)
+	beat := func(sequence int64) fleet.State {
+		b := fleet.Beat{Upstream: fleet.Upstream{ID: "u", Service: "desk", Slots: 1, Born: 1, Sequence: sequence, State: fleet.StateReady}}
+		is.NoErr(n.record.Beat(t.Context(), b))
+		return n.record.current().Upstream.State
+	}
+	is.Equal(beat(4), fleet.StateNone)
+	is.Equal(beat(4), fleet.StateNone) // a second copy, after what a heartbeat waits for the store
+	time.Sleep(beatGap)
+	is.Equal(beat(4), fleet.StateNone)
+	is.Equal(beat(5), fleet.StateReady)
+
+	n = newPlainNode(t)
+	n.record.learned.done()
+	is.Equal(beat(4), fleet.StateReady)
+}
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -36,9 +36,11 @@
 	saved fleet.Version
 	// changed is closed and replaced whenever saved or host change.
 	changed chan struct{}
-	// learned tells that the store has told what it knows of this host.
+	// learned tells that the store or a peer has told what is known of this host.
 	learned once
-	dirty   chan struct{}
+	// first is the first heartbeat that came before that.
+	first firstBeat
+	dirty chan struct{}
 }
 
 // once is a channel that is closed once.
@@ -100,6 +102,11 @@
 	r.waitLearned(ctx)
 	r.mu.Lock()
 	before := r.host.Upstream
+	if before.State == fleet.StateNone && b.State == fleet.StateReady && !r.isLearned() && !r.first.confirms(time.Now(), b) {
+		r.mu.Unlock()
+		r.node.log.Emit(event.UpstreamUnsure, event.F("upstream", b.ID), event.F("born", b.Born), event.F("sequence", b.Sequence))
+		return nil
+	}
 	next, verdict := fleet.Apply(before, b)
 	switch verdict {
 	case fleet.Late:
@@ -148,6 +155,37 @@
 // Ready implements platform.Listener.
 func (r *record) Ready() bool { return r.node.ready() }
 
+// firstBeat is a heartbeat that came while nothing was known of the upstream. It may
+// have been on its way since before the upstream left.
+type firstBeat struct {
+	born, sequence int64
+	at             time.Time
+}
+
+// beatGap is the least time after the first heartbeat at which another one shows that
+// the upstream lives: those that were held up come together. Upstreams send one every
+// 1.5 s.
+const beatGap = time.Second
+
+// confirms reports whether a heartbeat follows the first one, and notes it if it is the
+// first.
+func (f *firstBeat) confirms(now time.Time, b fleet.Beat) bool {
+	if f.at.IsZero() || b.Born != f.born {
+		*f = firstBeat{b.Born, b.Sequence, now}
+		return false
+	}
+	return b.Sequence > f.sequence && now.Sub(f.at) >= beatGap
+}
+
+func (r *record) isLearned() bool {
+	select {
+	case <-r.learned.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *record) waitLearned(ctx context.Context) {
 	select {
 	case <-r.learned.closed:
@@ -247,6 +285,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.adopt(known)
+	r.learned.done()
 }
 
 // adopt takes in a record that a former process of this host wrote. It may say
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -55,8 +55,12 @@
 // Stop implements kernel.Service.
 func (p *part) Stop(ctx context.Context) error { return p.close(ctx) }
 
-// loop returns a service that runs in the background until it is stopped.
-func loop(name string, run func(ctx context.Context), needs ...string) *part {
+// loopPause follows an unexpected error of a background loop, so that it does not spin.
+const loopPause = time.Second
+
+// loop returns a service that runs in the background until it is stopped. It begins
+// anew after an unexpected error.
+func (n *Node) loop(name string, run func(ctx context.Context), needs ...string) *part {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	return &part{
@@ -64,7 +68,7 @@
 		open: func() error {
 			go func() {
 				defer close(done)
-				run(ctx)
+				n.lead.guarded(ctx, "loop "+name, run)
 			}()
 			return nil
 		},
@@ -106,11 +110,11 @@
 			n.peers.close()
 			return n.peers.server.Close()
 		}},
-		loop(recordName, n.record.keep, peersName),
-		loop(leadName, n.lead.run, recordName),
-		loop(janitorName, n.janitor, leadName),
-		loop(settingsName, n.watchSettings, storeName),
-		loop(logName+".dropped", n.reportDropped, logName),
+		n.loop(recordName, n.record.keep, peersName),
+		n.loop(leadName, n.lead.run, recordName),
+		n.loop(janitorName, n.janitor, leadName),
+		n.loop(settingsName, n.watchSettings, storeName),
+		n.loop(logName+".dropped", n.reportDropped, logName),
 		&part{name: requestsName, needs: []string{leadName}, open: func() error { return n.outbound.Listen(s.Listen.Outbound) }, close: func(context.Context) error {
 			return n.outbound.Close()
 		}},
--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -35,9 +35,7 @@
 	n.record.stopping()
 	sleepUntil(limit, time.Now().Add(toldAfter))
 	n.intake.Stop()
-	if err := n.outbound.Retire(); err != nil {
-		n.log.Emit(event.ServiceStopFail, event.F("error", err))
-	}
+	n.outbound.Retire()
 	for time.Now().Before(limit) && n.outbound.Pending()+n.intake.Running() > 0 {
 		time.Sleep(stopPoll)
 	}
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 )
 
@@ -66,7 +67,7 @@
 		relayed:   make(map[string]relay),
 		saved:     make(map[string]fleet.Version),
 	}
-	t.timer = time.AfterFunc(time.Hour, t.flush)
+	t.timer = time.AfterFunc(time.Hour, func() { _ = guard.Run("relay", n.panicked, t.flush) }) // it was reported
 	return t
 }
 
@@ -300,6 +301,7 @@
 		theirs[h.Node] = h
 	}
 	t.node.learnFrom(from, hosts)
+	t.node.record.learned.done() // of this host the sender knows nothing else
 	missing := &link.News{}
 	for _, h := range t.node.table.All() {
 		if known, ok := theirs[h.Node]; !ok || h.IsNewer(&known) {
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -379,3 +379,45 @@
 	is.True(time.Since(start) < 600*time.Millisecond)
 	is.Equal(p.runs.Load(), int32(2))
 }
+
+// A call that fails unexpectedly has an unknown outcome, and a message that does ends
+// its connection; other calls go on.
+func TestPanicEndsOneCall(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, func(_ context.Context, c *link.Call) *link.Answer {
+		if c.Target == "/bad" {
+			panic("unexpected")
+		}
+		return ran(c.Target)
+	})
+	a, err := p.call(context.Background(), "/bad")
+	is.NoErr(err)
+	is.Equal(a.Outcome, link.Unknown)
+	is.Equal(a.Reason, link.ReasonInternal)
+	a, err = p.call(context.Background(), "/good")
+	is.NoErr(err)
+	is.Equal(a.Outcome, link.Ran)
+}
+
+// An order whose node falls silent for a while, and is given up by nobody, runs once and
+// brings its answer.
+func TestOrderOutlivesASilence(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, slow(600*time.Millisecond))
+	answered := make(chan *link.Answer, 1)
+	go func() {
+		a, err := p.peer.Call(context.Background(), &link.Call{Target: "/order", LeftMs: 5000}, 5*time.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		answered <- a
+	}()
+	for p.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.relay.silent.Store(true)
+	time.Sleep(1500 * time.Millisecond)
+	p.relay.silent.Store(false)
+	is.Equal(string((<-answered).Body), "/order")
+	is.Equal(p.runs.Load(), int32(1))
+}
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -14,6 +14,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
 	"github.com/tarragondrum/tarragondrum/pkg/pki"
@@ -63,6 +64,8 @@
 	Answers *memory.Budget
 	// Waited is told how long short messages waited to be written; nil is not.
 	Waited func(time.Duration)
+	// Panicked is told of unexpected errors while a message is handled; nil is not.
+	Panicked guard.Report
 }
 
 // scheme returns the scheme of the addresses that are dialled.
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 )
 
 const (
@@ -38,6 +40,8 @@
 	ReasonNoMemory = "no-memory"
 	// ReasonForgotten: the answer was dropped after it was sent, and asked for again.
 	ReasonForgotten = "answer-forgotten"
+	// ReasonInternal: the handling of the call failed unexpectedly; it may have run.
+	ReasonInternal = "internal-error"
 )
 
 // Server answers the calls of other nodes.
@@ -252,7 +256,10 @@
 	c.calls[id] = served
 	go func() {
 		defer cancel()
-		a := s.Handle(ctx, node, call)
+		var a *Answer
+		if guard.Run("call", s.Self.Panicked, func() { a = s.Handle(ctx, node, call) }) != nil {
+			a = &Answer{Outcome: Unknown, Reason: ReasonInternal, Arrived: true}
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		served.answer = a
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
 )
 
@@ -43,6 +45,8 @@
 	start time.Time
 	// waited is told how long short frames waited to be written, if it is not nil.
 	waited func(time.Duration)
+	// panicked is told of unexpected errors while a message is handled.
+	panicked guard.Report
 
 	mu sync.Mutex
 	// pong is closed with the next frame that comes in, nil if nobody waits for one, and
@@ -59,7 +63,7 @@
 
 func newSession(ctx context.Context, ws *websocket.Conn, self *Identity) *session {
 	ws.SetReadLimit(maxFrameBytes)
-	s := &session{ws: ws, out: make(chan queued, sendQueue), uplink: self.Uplink, start: time.Now(), waited: self.Waited}
+	s := &session{ws: ws, out: make(chan queued, sendQueue), uplink: self.Uplink, start: time.Now(), waited: self.Waited, panicked: self.Panicked}
 	s.large.added = make(chan struct{}, 1)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	return s
@@ -166,22 +170,31 @@
 		}
 		s.heard.Store(int64(time.Since(s.start)))
 		s.answered()
-		f, err := decode(data)
-		if err != nil {
+		if err := s.takeMessage(data, take); err != nil {
 			s.cancel(err)
 			return
 		}
+	}
+}
+
+// takeMessage handles one message. A failure ends the connection, an unexpected one as
+// well: what the message was meant to change is not known.
+func (s *session) takeMessage(data []byte, take func(*frame) error) error {
+	var err error
+	panicked := guard.Run("message of a node", s.panicked, func() {
+		var f *frame
+		if f, err = decode(data); err != nil {
+			return
+		}
 		switch f.Kind {
 		case kindPing:
 			s.send(&frame{Kind: kindPong})
 		case kindPong:
 		default:
-			if err := take(f); err != nil {
-				s.cancel(err)
-				return
-			}
+			err = take(f)
 		}
-	}
+	})
+	return errors.Join(panicked, err)
 }
 
 // answered wakes those that wait for a sign of the peer.
