--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -107,3 +107,14 @@
 	is.True(err != nil) // keys are missing
 	is.Equal(text, kept)
 }
+
+// No bytes of a settings file make a process fail unexpectedly.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"node": {"id": "a"}, /* comment */ "listen": {"peerPort": -1},}`))
+	f.Add([]byte(`{"operators": [{"name": "a", "publicKey": "AA=="}], "bounds": {"graceS": 1e308}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s, err := hostconf.Parse(text); err == nil && s.Grace() < 0 {
+			t.Fatalf("grace of %s", s.Grace())
+		}
+	})
+}
--- a/pkg/link/fuzz_test.go
+++ b/pkg/link/fuzz_test.go
@@ -1,6 +1,10 @@
 package link
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+)
 
 // No bytes end the process, and what can be read can be written again.
 func FuzzDecodeFrame(f *testing.F) {
@@ -21,3 +25,22 @@
 		}
 	})
 }
+
+// No bytes of another node make a table that cannot be told on.
+func FuzzUnpackHosts(f *testing.F) {
+	packed, err := PackHosts([]fleet.Host{{Node: "a", PeerAddress: "x"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add([]byte("\x28\xb5\x2f\xfd"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		hosts, err := UnpackHosts(data)
+		if err != nil {
+			return
+		}
+		if _, err := PackHosts(hosts); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
