--- /dev/null
+++ b/pkg/h1/serverwrite.go
@@ -0,0 +1,116 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/pace"
+)
+
+// writeAnswers writes the answers in the order of the requests.
+func (c *serverConn) writeAnswers(ctx context.Context) {
+	w := bufio.NewWriterSize(c.conn, bufferBytes)
+	for p := range c.queue {
+		answer := p.await(ctx)
+		c.server.Memory.Give(p.held)
+		if answer == nil {
+			p.abandon()
+			c.discard()
+			return
+		}
+		mayFollow := c.writeAnswer(ctx, w, p, answer)
+		answer.Held.Release()
+		if !mayFollow {
+			c.discard()
+			return
+		}
+	}
+}
+
+// await waits for the answer. It returns nil if the connection ends before.
+func (p *pending) await(ctx context.Context) *Response {
+	select {
+	case answer := <-p.answer:
+		return answer
+	case <-ctx.Done():
+	}
+	select {
+	case answer := <-p.answer: // it was ready as well
+		return answer
+	default:
+		return nil
+	}
+}
+
+// writeAnswer writes one answer and reports whether others may follow.
+func (c *serverConn) writeAnswer(ctx context.Context, w *bufio.Writer, p *pending, answer *Response) bool {
+	draining := c.server.isDraining()
+	c.mu.Lock()
+	// While draining, the answer to the newest request ends the connection.
+	if draining && c.waiting == 1 && !c.reading {
+		c.closing = true
+		p.last = true
+	}
+	c.mu.Unlock()
+	answer.Close = answer.Close || p.last
+	err := c.write(ctx, w, answer.writeHead(w, p.method))
+	c.mu.Lock()
+	c.waiting--
+	if !c.closing {
+		c.setIdle()
+	}
+	c.mu.Unlock()
+	if err != nil {
+		_ = c.conn.Close()
+		return false
+	}
+	if answer.Close {
+		c.linger()
+		return false
+	}
+	return true
+}
+
+// write writes a body and all before it. A large body goes at the pace of the link.
+func (c *serverConn) write(ctx context.Context, w *bufio.Writer, body []byte) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if len(body) <= pace.PartBytes {
+		c.server.Uplink.Sent(len(body) + w.Buffered())
+		_, _ = w.Write(body)
+		return w.Flush()
+	}
+	schedule := c.server.Uplink.Schedule(len(body))
+	defer schedule.Cancel()
+	for len(body) > 0 {
+		if err := schedule.Wait(ctx); err != nil {
+			return err
+		}
+		part := body[:min(pace.PartBytes, len(body))]
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, _ = w.Write(part)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		schedule.Part(len(part))
+		body = body[len(part):]
+	}
+	return nil
+}
+
+// linger tells the caller the end of the connection and leaves it time to read
+// the last answer; the reading goroutine waits for the caller's own end.
+func (c *serverConn) linger() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
+// discard drops the requests that are not answered any more.
+func (c *serverConn) discard() {
+	for p := range c.queue {
+		c.server.Memory.Give(p.held)
+		p.abandon()
+	}
+}
--- a/pkg/intake/queue.go
+++ b/pkg/intake/queue.go
@@ -238,39 +238,10 @@
 	return Verdict{Wait: true}
 }
 
-// linkIsFull reports whether a large answer would wait too long for the host's link: it
-// would be late only because of those before it. One that is late anyway waits as
-// shortly as it would for a slot. Where links are too slow for what is asked, refusing
-// at once leaves its callers time to find another host.
-func (q *Queue) linkIsFull(now time.Time, r *Request) bool {
-	if r.Link == 0 {
-		return false
-	}
-	alone := now.Add(q.needOf(r.Route, 1) + r.Transfer)
-	limit := earlier(r.Aim, r.Deadline)
-	if alone.After(limit) {
-		return r.Link > q.needOf(r.Route, lateWait) || alone.Add(r.Link).After(r.Deadline)
-	}
-	return alone.Add(r.Link).After(limit)
-}
-
 // starvedWaits reports whether a request of a starved route waits. Further ones do
 // not go before the others, or they would crowd out what is more urgent.
 func (q *Queue) starvedWaits() bool { return len(q.waiting) > 0 && q.waiting[0].starved }
 
-// mayWait reports whether a request is of use after a wait. One that would be
-// late takes the slot of one that would not, so that it waits only shortly.
-func (q *Queue) mayWait(now time.Time, w *waiting, wait time.Duration) bool {
-	end := now.Add(wait + q.needOf(w.Route, aimNeed) + w.carry())
-	if w.starved {
-		return !end.After(w.Deadline)
-	}
-	if w.late {
-		return wait <= q.needOf(w.Route, lateWait) && !end.After(w.Deadline)
-	}
-	return !end.After(earlier(w.Aim, w.Deadline))
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -278,23 +249,6 @@
 	return b
 }
 
-// estimate returns the time until a new request gets a slot: it is behind all
-// that goes before it, or gets one of the turns that the less urgent have,
-// whichever comes first.
-func (q *Queue) estimate(r *waiting) time.Duration {
-	work, behind := q.mean, q.mean
-	for i := range q.waiting {
-		w := &q.waiting[i]
-		if w.before(r) {
-			work += q.needOf(w.Route, 1)
-		}
-		if w.Priority >= r.Priority {
-			behind += q.needOf(w.Route, 1)
-		}
-	}
-	return min(work, behind*turn) / time.Duration(q.slots)
-}
-
 // forget halves the mean time of a route that has brought no answer lately, and
 // returns the new one, 0 where it stays.
 func (q *Queue) forget(now time.Time, route string) time.Duration {
@@ -314,30 +268,6 @@
 	return time.Duration(share * float64(mean))
 }
 
-// advice is the time in which the queue drains enough for another request.
-func (q *Queue) advice(wait time.Duration) time.Duration {
-	return min(max(wait/2, minRetryAfter), maxRetryAfter)
-}
-
-// lateShare is the part of the time left to a late request after which it comes back.
-// A caller comes back a few times, and not later than after a third of its time.
-const lateShare = 0.3
-
-// lateAdvice is when a refused caller that is late already comes back. Those that can be
-// in time go first, so that it should come when the load has passed: after a part of
-// its time, not with the next free slot.
-func (q *Queue) lateAdvice(now time.Time, w *waiting) time.Duration {
-	left := w.Deadline.Sub(now) - q.needOf(w.Route, 1) - w.carry()
-	return min(max(time.Duration(lateShare*float64(left)), minRetryAfter), maxRetryAfter)
-}
-
-// spare is the longest advice with which a refused caller, after its way back, can
-// still be served in time.
-func (q *Queue) spare(now time.Time, w *waiting) time.Duration {
-	left := w.Aim.Sub(now) - q.needOf(w.Route, aimNeed) - w.carry()
-	return max(minRetryAfter, left/2)
-}
-
 // Done ends a request that held a slot. The time it took counts for the means if
 // ok.
 func (q *Queue) Done(now time.Time, id uint64, ok bool) {
