Answer profiles on the metrics address while a setting says so

Cause: asked with the large fleets: the processor time of a node under load could not be split by function without a build of one's own.

Change: `listen.profiles`, off by default, read again with the settings; event 124 for each profile. The metrics port answers the processor and heap profiles of Go's tools.

--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -11,4 +11,5 @@
 	SettingsRefused  = register(121, "settings-refused", LevelError, "the changed settings cannot be used; the former ones stay", "Read the error: it names each key.")
 	PanicCaught      = register(123, "panic-caught", LevelError, "an unexpected error ended one request, connection or step of a loop; the process goes on", "Report it with the stack in the event; restart the node when it suits.")
 	LogLinesDropped  = register(122, "log-lines-dropped", LevelWarn, "log lines were dropped since the output was too slow or too much was to be said", "")
+	ProfileTaken     = register(124, "profile-taken", LevelInfo, "a profile of the process was asked for", "")
 )
--- a/pkg/host/host_test.go
+++ b/pkg/host/host_test.go
@@ -334,6 +334,27 @@
 	is.Equal(c.get(m, "/desk/x", "after").status, http.StatusOK)
 }
 
+// Profiles are answered while the settings say so, without a restart.
+func TestProfilesAreOffByDefault(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	m := c.hosts[0]
+	status := func() int {
+		a, err := http.Get(m.URL() + "/debug/pprof/heap") //nolint:noctx // bounded by the test
+		is.NoErr(err)
+		is.NoErr(a.Body.Close())
+		return a.StatusCode
+	}
+	is.Equal(status(), http.StatusNotFound)
+	text, err := os.ReadFile(m.SettingsFile)
+	is.NoErr(err)
+	on := strings.Replace(string(text), `"listen": {`, `"listen": {"profiles": true, `, 1)
+	is.NoErr(os.WriteFile(m.SettingsFile, []byte(on), 0o600))
+	c.eventually("on", func() bool { return status() == http.StatusOK })
+	is.True(strings.Contains(m.log.String(), `"profile-taken"`))
+	is.True(!strings.Contains(m.log.String(), `"settings-need-restart"`))
+}
+
 // An upstream whose answers never end costs its own requests only: they end as unknown
 // long before their time, its standing falls, and lookups are answered by another.
 func TestEndlessAnswersEnd(t *testing.T) {
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -41,7 +41,9 @@
 	if old.Store.Address != s.Store.Address {
 		n.storePtr.Swap(platform.NewStore(s.Store.Address, n.observer.storeCall)).Close()
 	}
-	if old.Listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream || old.Peers != s.Peers {
+	listen := old.Listen
+	listen.Profiles = s.Listen.Profiles // taken in at once
+	if listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream || old.Peers != s.Peers {
 		n.log.Emit(event.SettingsIgnored, event.F("node", s.Node.ID))
 	}
 	n.log.Emit(event.SettingsReloaded, event.F("changed", true), event.F("signal", signal))
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/pprof"
 	"runtime/debug"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -144,6 +147,7 @@
 	s, err := httpserver.Start(address, func(h *server.Hertz) {
 		h.GET("/metrics", adaptor.HertzHandler(handler))
 		n.serveHandover(h)
+		n.serveProfiles(h)
 	})
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
@@ -151,6 +155,30 @@
 	return s, nil
 }
 
+// The paths of profiles, as Go's tools ask for them.
+const (
+	profilePath = "/debug/pprof/profile"
+	heapPath    = "/debug/pprof/heap"
+)
+
+// serveProfiles adds profiles of the process to a server. They are there only while the
+// settings say so, as each costs processor time.
+func (n *Node) serveProfiles(h *server.Hertz) {
+	guarded := func(handler http.Handler) app.HandlerFunc {
+		serve := adaptor.HertzHandler(handler)
+		return func(ctx context.Context, rc *app.RequestContext) {
+			if !n.settings.Load().Listen.Profiles {
+				rc.NotFound()
+				return
+			}
+			n.log.Emit(event.ProfileTaken, event.F("path", string(rc.Path())), event.F("from", rc.RemoteAddr().String()))
+			serve(ctx, rc)
+		}
+	}
+	h.GET(profilePath, guarded(http.HandlerFunc(pprof.Profile)))
+	h.GET(heapPath, guarded(pprof.Handler("heap")))
+}
+
 // reportDropped reports the log lines that were dropped.
 func (n *Node) reportDropped(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -53,6 +53,8 @@
 		PeerAdvertised int `json:"peerAdvertised"`
 		// MetricsPort is fixed by the deploy file.
 		MetricsPort int `json:"metricsPort"`
+		// Profiles tells that the metrics port also answers with profiles of the process.
+		Profiles bool `json:"profiles"`
 	} `json:"listen"`
 	Store struct {
 		Address string `json:"address"`
