--- a/pkg/host/host_test.go
+++ b/pkg/host/host_test.go
@@ -351,7 +351,7 @@
 	on := strings.Replace(string(text), `"listen": {`, `"listen": {"profiles": true, `, 1)
 	is.NoErr(os.WriteFile(m.SettingsFile, []byte(on), 0o600))
 	c.eventually("on", func() bool { return status() == http.StatusOK })
-	is.True(strings.Contains(m.log.String(), `"profile-taken"`))
+	c.eventually("logged", func() bool { return strings.Contains(m.log.String(), `"profile-taken"`) })
 	is.True(!strings.Contains(m.log.String(), `"settings-need-restart"`))
 }
 
