Refuse single certificates of nodes by the settings

A certificate of a node could be taken back only with its whole authority; its open connections went on for ever.

Change: `peers.withdrawn`, serial numbers, read at each start and again with the settings. Calls outlive their connection as with any other loss.

Figures: TestWithdrawnCertificateConnectsNoMore fails on both sides without the look (tried), passes with it.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -116,11 +116,11 @@
 	n.log = event.New(n.output, event.LevelInfo, s.Node.ID)
 	n.observer = newObserver(n.registry, n.log)
 	if s.Peers.Sealed() {
-		files := pki.Files{Cert: s.Peers.CertFile, Key: s.Peers.KeyFile, CA: s.Peers.CAFile}
-		n.credentials, err = pki.Load(files, func(err error) { n.log.Emit(event.CredentialsKept, event.F("error", err)) })
+		n.credentials, err = pki.Load(s.Peers.Files(), func(err error) { n.log.Emit(event.CredentialsKept, event.F("error", err)) })
 		if err != nil {
 			return nil, fmt.Errorf("host: %w", err)
 		}
+		n.credentials.Withdraw(s.Peers.WithdrawnSerials())
 	}
 	n.answers = memory.New(int64(answerShare * float64(s.Node.MemoryMB) * (1 << 20)))
 	n.uplink = pace.NewUplink(s.Node.LinkMbps)
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -38,12 +38,15 @@
 	n.raw = raw
 	old := n.settings.Swap(s)
 	n.keyring.Store(s.Keyring())
+	if n.credentials != nil {
+		n.credentials.Withdraw(s.Peers.WithdrawnSerials())
+	}
 	if old.Store.Address != s.Store.Address {
 		n.storePtr.Swap(platform.NewStore(s.Store.Address, n.observer.storeCall)).Close()
 	}
 	listen := old.Listen
 	listen.Profiles = s.Listen.Profiles // taken in at once
-	if listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream || old.Peers != s.Peers {
+	if listen != s.Listen || old.Node != s.Node || old.Upstream != s.Upstream || old.Peers.Files() != s.Peers.Files() {
 		n.log.Emit(event.SettingsIgnored, event.F("node", s.Node.ID))
 	}
 	n.log.Emit(event.SettingsReloaded, event.F("changed", true), event.F("signal", signal))
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/big"
 	"net/netip"
 	"os"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/pki"
 )
 
 // ErrInvalid is returned for settings that cannot be used.
@@ -79,6 +81,22 @@
 	CertFile string `json:"certFile"`
 	KeyFile  string `json:"keyFile"`
 	CAFile   string `json:"caFile"`
+	// Withdrawn are the serial numbers of certificates that are refused.
+	Withdrawn []string `json:"withdrawn"`
+}
+
+// Files returns the names of the files.
+func (p *Peers) Files() pki.Files { return pki.Files{Cert: p.CertFile, Key: p.KeyFile, CA: p.CAFile} }
+
+// WithdrawnSerials returns the serial numbers that are refused.
+func (p *Peers) WithdrawnSerials() []*big.Int {
+	list := make([]*big.Int, 0, len(p.Withdrawn))
+	for _, text := range p.Withdrawn {
+		if serial, ok := pki.ParseSerial(text); ok { // Check refuses others
+			list = append(list, serial)
+		}
+	}
+	return list
 }
 
 // Sealed reports whether the connections between nodes are sealed.
@@ -191,7 +209,12 @@
 		fault("bounds.retryRatio and bounds.retrySlack", fmt.Sprint(s.Bounds.RetryRatio, ", ", s.Bounds.RetrySlack), "0 or more")
 	}
 	if (s.Peers.CertFile == "") != (s.Peers.KeyFile == "") || (s.Peers.CertFile == "") != (s.Peers.CAFile == "") {
-		fault("peers", fmt.Sprintf("%q", s.Peers), "certFile, keyFile and caFile or none of them")
+		fault("peers", fmt.Sprintf("%q", s.Peers.Files()), "certFile, keyFile and caFile or none of them")
+	}
+	for i, text := range s.Peers.Withdrawn {
+		if _, ok := pki.ParseSerial(text); !ok {
+			fault(fmt.Sprintf("peers.withdrawn[%d]", i), fmt.Sprintf("%q", text), "a serial number in hexadecimal")
+		}
 	}
 	if len(s.Operators) > 0 {
 		keyring, err := bundle.OperatorKeys(s.Operators)
--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -94,6 +94,11 @@
 	is.NoErr(err)
 	is.Equal(s.PeerListener(), "10.1.0.35:7660")
 	is.Equal(s.PeerAddress(), "10.1.0.35:7000")
+	s, err = with(`"peers": {"withdrawn": ["0A:1b", "ff"]}`)
+	is.NoErr(err)
+	is.Equal(s.Peers.WithdrawnSerials()[0].Int64(), int64(0x0a1b))
+	_, err = with(`"peers": {"withdrawn": ["serial"]}`)
+	is.True(errors.Is(err, hostconf.ErrInvalid))
 	_, err = with(`"peers": {"certFile": "c"}`)
 	is.True(errors.Is(err, hostconf.ErrInvalid))
 }
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -278,6 +278,7 @@
 		return nil, fmt.Errorf("connect to %s at %s: incarnation: %w", p.node, p.address, err)
 	}
 	s := newSession(p.ctx, ws, &p.self)
+	s.allowed = p.self.allows(answer.TLS)
 	s.incarnation = incarnation
 	go s.writeLoop()
 	p.self.Pulse.watch(s, p.busy)
--- a/pkg/link/pulse.go
+++ b/pkg/link/pulse.go
@@ -71,8 +71,14 @@
 }
 
 // look pings the peer while it is silent, and ends a connection on which a ping is
-// not followed by anything.
+// not followed by anything, or with a certificate that is withdrawn by now.
 func (c *pulsed) look(s *session) {
+	if s.allowed != nil {
+		if err := s.allowed(); err != nil {
+			s.cancel(fmt.Errorf("link: %w", err))
+			return
+		}
+	}
 	now := time.Since(s.start)
 	switch c.pings.look(now, time.Duration(s.heard.Load()), c.busy()) {
 	case pingNow:
--- a/pkg/link/seal.go
+++ b/pkg/link/seal.go
@@ -47,3 +47,12 @@
 	}
 	return nil
 }
+
+// allows returns a function that tells whether the other side of a sealed connection is
+// still allowed, or nil for one that is not sealed.
+func (i *Identity) allows(state *tls.ConnectionState) func() error {
+	if i.Credentials == nil || state == nil {
+		return nil
+	}
+	return func() error { return i.Credentials.Check(state) }
+}
--- a/pkg/link/sealed_test.go
+++ b/pkg/link/sealed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/big"
 	"testing"
 	"time"
 
@@ -74,3 +75,50 @@
 		})
 	}
 }
+
+// A certificate that is withdrawn ends its open connection on either side and opens no
+// other, while that of another node goes on.
+func TestWithdrawnCertificateConnectsNoMore(t *testing.T) {
+	for name, withdrawer := range map[string]string{"at the called node": "b", "at the calling node": "a"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ca := authority(t)
+			life := func() int64 { return 1 }
+			all := map[string]*pki.Credentials{"a": credentials(t, ca, "a"), "b": credentials(t, ca, "b"), "c": credentials(t, ca, "c")}
+			s := &link.Server{
+				Self: link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: all["b"]},
+				Handle: func(context.Context, string, *link.Call) *link.Answer {
+					return &link.Answer{Outcome: link.Ran, Status: 200}
+				},
+				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}},
+			}
+			address := freeAddress(t)
+			is.NoErr(s.Listen(address))
+			t.Cleanup(func() { _ = s.Close() })
+			call := func(p *link.Peer) error {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := p.Call(ctx, &link.Call{LeftMs: 1000, Idempotent: true}, 0)
+				return err
+			}
+			peer := func(node string) *link.Peer {
+				p := link.NewPeer(link.Identity{Node: node, Incarnation: life, Pulse: pulse, Credentials: all[node]}, "b", address, s.Events)
+				t.Cleanup(p.Close)
+				return p
+			}
+			a, c := peer("a"), peer("c")
+			is.NoErr(call(a))
+			is.NoErr(call(c))
+			other := map[string]string{"a": "b", "b": "a"}[withdrawer]
+			all[withdrawer].Withdraw([]*big.Int{all[other].ClientConfig().Certificates[0].Leaf.SerialNumber})
+			deadline := time.Now().Add(3 * time.Second)
+			for call(a) == nil {
+				is.True(time.Now().Before(deadline))
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond) // it tries again meanwhile
+			is.True(call(a) != nil)
+			is.NoErr(call(c))
+		})
+	}
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -187,6 +187,7 @@
 		return // Accept has answered
 	}
 	session := newSession(s.ctx, ws, &s.Self)
+	session.allowed = s.Self.allows(r.TLS)
 	c.mu.Lock()
 	old := c.session
 	c.session = session
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -45,6 +45,9 @@
 	start time.Time
 	// waited is told how long short frames waited to be written, if it is not nil.
 	waited func(time.Duration)
+	// allowed returns an error once the other side's certificate is withdrawn; nil where
+	// connections are not sealed.
+	allowed func() error
 	// panicked is told of unexpected errors while a message is handled.
 	panicked guard.Report
 
--- a/pkg/pki/reload.go
+++ b/pkg/pki/reload.go
@@ -5,14 +5,23 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"math/big"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // checkInterval is the shortest time between two looks at the files.
 const checkInterval = time.Second
 
+// serialBase is the base in which serial numbers are written.
+const serialBase = 16
+
+// ErrWithdrawn is returned for a certificate that is withdrawn.
+var ErrWithdrawn = errors.New("pki: certificate is withdrawn")
+
 // ErrNoAuthority is returned when the authority file holds no certificate.
 var ErrNoAuthority = errors.New("pki: authority file holds no certificate")
 
@@ -34,6 +43,9 @@
 	modified [3]time.Time
 	cert     *tls.Certificate
 	pool     *x509.CertPool
+
+	// withdrawn are the serial numbers of certificates that are refused.
+	withdrawn atomic.Pointer[map[string]bool]
 }
 
 // Load reads the files. report is told of later files that cannot be used.
@@ -49,6 +61,37 @@
 	return c, nil
 }
 
+// Withdraw refuses the certificates with the given serial numbers, and no others, from
+// now on. Connections that are open are not ended; Check tells of them.
+func (c *Credentials) Withdraw(serials []*big.Int) {
+	set := make(map[string]bool, len(serials))
+	for _, s := range serials {
+		set[s.String()] = true
+	}
+	c.withdrawn.Store(&set)
+}
+
+// Check returns ErrWithdrawn for a connection whose other side shows a withdrawn
+// certificate.
+func (c *Credentials) Check(state *tls.ConnectionState) error {
+	set := c.withdrawn.Load()
+	if set == nil {
+		return nil
+	}
+	for _, cert := range state.PeerCertificates {
+		if (*set)[cert.SerialNumber.String()] {
+			return fmt.Errorf("certificate %s of %q: %w", cert.SerialNumber.Text(serialBase), cert.Subject.CommonName, ErrWithdrawn)
+		}
+	}
+	return nil
+}
+
+// ParseSerial reads a serial number in hexadecimal, with or without colons, as tools
+// for certificates print it.
+func ParseSerial(text string) (*big.Int, bool) {
+	return new(big.Int).SetString(strings.ReplaceAll(text, ":", ""), serialBase)
+}
+
 // ServerConfig returns the configuration of a listener that asks every peer
 // for a certificate of the authority.
 func (c *Credentials) ServerConfig() *tls.Config {
@@ -61,6 +104,8 @@
 				Certificates: []tls.Certificate{*cert},
 				ClientAuth:   tls.RequireAndVerifyClientCert,
 				ClientCAs:    pool,
+
+				VerifyConnection: c.verify,
 			}, nil
 		},
 	}
@@ -74,9 +119,13 @@
 		Certificates: []tls.Certificate{*cert},
 		RootCAs:      pool,
 		ServerName:   ServerName,
+
+		VerifyConnection: c.verify,
 	}
 }
 
+func (c *Credentials) verify(state tls.ConnectionState) error { return c.Check(&state) }
+
 // current returns the newest usable certificate and authority.
 func (c *Credentials) current() (*tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
