--- a/pkg/host/contacts.go
+++ b/pkg/host/contacts.go
@@ -54,18 +54,65 @@
 	if p.isSmall() {
 		return
 	}
+	if p.lookAtContacts(time.Now()) {
+		p.reachContacts(p.node.table.All())
+	}
+}
+
+// lookAtContacts reports whether other contacts have to be found: one is not connected
+// or says nothing, or one that was passed over is heard again.
+func (p *peers) lookAtContacts(now time.Time) (others bool) {
 	for node := range p.tree.wantedContacts() {
-		if p.open(node) == nil {
-			p.reachContacts(p.node.table.All())
-			return
+		peer := p.open(node)
+		if peer == nil {
+			others = true
+			continue
 		}
+		heard, ok := peer.Heard()
+		if ok && p.tree.look(node, now, heard) {
+			peer.Ask()
+		}
+		others = others || ok && p.tree.isPassed(node, heard)
+	}
+	for _, node := range p.tree.passedOver() {
+		others = others || p.hears(node)
+	}
+	return others
+}
+
+// hears reports whether a node is not connected, so that its connection decides, or was
+// heard after it was passed over.
+func (p *peers) hears(node string) bool {
+	peer := p.open(node)
+	if peer == nil {
+		p.tree.forgetSilence(node)
+		return true
+	}
+	heard, ok := peer.Heard()
+	if !ok || p.tree.isPassed(node, heard) {
+		return false
+	}
+	p.tree.forgetSilence(node)
+	return true
+}
+
+// mayContact reports whether a node can be a contact: it is reached and says something.
+func (p *peers) mayContact(node string) bool {
+	if !p.reachable(node) {
+		return false
+	}
+	peer := p.open(node)
+	if peer == nil {
+		return true
 	}
+	heard, ok := peer.Heard()
+	return !ok || !p.tree.isPassed(node, heard)
 }
 
 // reachContacts connects to the contacts and asks new ones to be told everything.
 func (p *peers) reachContacts(hosts []fleet.Host) {
 	self := p.node.record.current()
-	contacts := fleet.FindContacts(&self, hosts, p.reachable)
+	contacts := fleet.FindContacts(&self, hosts, p.mayContact)
 	added := p.tree.setContacts(contacts)
 	for _, node := range append([]string{contacts.Hub}, contacts.Centres...) {
 		if node != "" {
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -35,6 +35,8 @@
 	// followers are the nodes that have this one as a contact.
 	followers map[string]func(*link.News) bool
 	number    uint64
+	// silences are those of contacts that said nothing for a while.
+	silences map[string]*fleet.Silence
 	// heard are the newest announcements by rank.
 	heard map[string]announcement
 	// unlike is since when the table differs from that of a contact.
@@ -64,6 +66,7 @@
 		wanted:    make(map[string]bool),
 		followers: make(map[string]func(*link.News) bool),
 		heard:     make(map[string]announcement),
+		silences:  make(map[string]*fleet.Silence),
 		relayed:   make(map[string]relay),
 		saved:     make(map[string]fleet.Version),
 	}
@@ -104,6 +107,55 @@
 	return t.wanted[node]
 }
 
+// look takes in when a contact was heard, and reports whether to ask it for a sign of
+// life.
+func (t *tree) look(node string, now, heard time.Time) (ask bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.silences[node]
+	if s == nil {
+		if now.Sub(heard) <= fleet.AskAfter {
+			return false
+		}
+		s = &fleet.Silence{}
+		t.silences[node] = s
+	}
+	wasPassed := s.IsPassed(heard)
+	ask = s.Look(now, heard)
+	if s.IsPassed(heard) && !wasPassed {
+		t.node.log.Emit(event.ContactPassed, event.F("peer", node), event.F("silentMs", now.Sub(heard).Milliseconds()))
+	}
+	return ask
+}
+
+// isPassed reports whether a node that was heard last at a time is passed over.
+func (t *tree) isPassed(node string, heard time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.silences[node]
+	return s != nil && s.IsPassed(heard)
+}
+
+// passedOver returns the nodes that said nothing for a while and are no contacts now.
+func (t *tree) passedOver() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for node := range t.silences {
+		if !t.wanted[node] {
+			list = append(list, node)
+		}
+	}
+	return list
+}
+
+// forgetSilence lets a node be a contact again.
+func (t *tree) forgetSilence(node string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.silences, node)
+}
+
 // isFirst reports whether this node is the first of its data centre.
 func (t *tree) isFirst() bool {
 	t.mu.Lock()
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -157,6 +157,22 @@
 	return p.session != nil, p.failed
 }
 
+// Heard returns when the peer was last heard on the open connection, or false without one.
+func (p *Peer) Heard() (time.Time, bool) {
+	s := p.current()
+	if s == nil {
+		return time.Time{}, false
+	}
+	return s.start.Add(time.Duration(s.heard.Load())), true
+}
+
+// Ask asks the peer for a sign of life, which Heard shows.
+func (p *Peer) Ask() {
+	if s := p.current(); s != nil {
+		s.send(&frame{Kind: kindPing})
+	}
+}
+
 // SendNews sends news to the peer if it is connected, and reports whether it is.
 func (p *Peer) SendNews(n *News) bool {
 	s := p.current()
