Let a node that started again read the store at every interval

A node that leads waits after its first read until 2.5 s after its start, as it expects to be covered soon. At the first start of all that holds. A node that starts again and is the first in rank covers the others at once; it announced itself for 1.1 s by the one read, the others waited 0.8 s more, and nobody read the store meanwhile.

Change: the wait is for the first start of all only.

TestLeadReadsAtEveryIntervalAfterARestart failed before.

--- a/pkg/host/config_test.go
+++ b/pkg/host/config_test.go
@@ -106,6 +106,20 @@
 	is.Equal(c.get(c.hosts[0], "/odd/x", "odd").status, http.StatusOK)
 }
 
+// The node that reads the store starts again: it reads at every interval from then on, as
+// nobody else does while it covers them.
+func TestLeadReadsAtEveryIntervalAfterARestart(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	first := c.hosts[0]
+	first.Kill()
+	c.start(first)
+	time.Sleep(600 * time.Millisecond) // it has joined and read once
+	before := c.storeCalls()
+	time.Sleep(2 * time.Second)
+	is.True(c.storeCalls()-before >= 2)
+}
+
 // A version whose record cannot be read is in force, and the node says so.
 func TestUnreadableRecordIsReported(t *testing.T) {
 	is := is.New(t)
--- a/pkg/host/follow.go
+++ b/pkg/host/follow.go
@@ -23,9 +23,9 @@
 	// readInterval is the time between two plain reads of the configuration. Watches
 	// can be deaf for seconds, plain reads are not.
 	readInterval = 900 * time.Millisecond
-	// settleTime is how long a node leads before it watches, and firstRead when
-	// after its start it reads the configuration for the second time. When all start
-	// at once they know each other, and are covered, after the second list.
+	// settleTime is how long a node leads before it watches, and firstRead when after
+	// the first start of all it reads the configuration for the second time: by then
+	// they know each other, and are covered.
 	settleTime = 4500 * time.Millisecond
 	firstRead  = 2500 * time.Millisecond
 	// hostsInterval is the time between two plain reads of all rosters: hosts tell each
@@ -272,8 +272,10 @@
 		if err != nil {
 			return err
 		}
-		// A node that has just started is soon covered, and not yet relied on.
-		sleep(ctx, firstRead-time.Since(l.node.started))
+		if l.node.settings.Load().Node.FirstStart {
+			// All start at once; this node is soon covered, and not yet relied on.
+			sleep(ctx, firstRead-time.Since(l.node.started))
+		}
 		return nil
 	})
 }
