Keep a reader's own word of its last request

The reader of a caller's connection looked at whether a request is the last one after it had queued it, while the writer may set that as the server drains. It would have read or not read one more time; the connection was closing in either case.

Change: the reader keeps what it decided under the lock.

--- a/pkg/h1/serverconn.go
+++ b/pkg/h1/serverconn.go
@@ -139,13 +139,13 @@
 		c.mu.Lock()
 		c.reading = false
 		c.waiting++
-		if p.last = p.last || draining; p.last {
-			c.closing = true
-		}
+		p.last = p.last || draining
+		last := p.last // that of p may change once it is queued
+		c.closing = c.closing || last
 		c.mu.Unlock()
 		c.queue <- p
 		go c.handle(ctx, q.Request, p)
-		if p.last {
+		if last {
 			_ = c.conn.SetReadDeadline(time.Time{})
 			return
 		}
