Mend what a newcomer's reading of the change found

Cause and change, one by one: - A figure that was wrong: `bench latency` gave the processor time of both nodes with the rest taken off twice, so that it was negative at 20 requests a second (-284 and -537 us). Shown by TestUnexpectedErrorEndsItsTryOnly, which ended the test's process before. - More complicated than needed: what decides whether a node that was passed over is used again was written twice (hears, mayContact); one is gone.

No bound and no check was loosened.

--- a/pkg/bench/latency/latency.go
+++ b/pkg/bench/latency/latency.go
@@ -41,7 +41,8 @@
 	warmTime  = 2 * time.Second
 	// block is the second number of the loopback addresses.
 	block = 90
-	// maxOpen bounds the connections that the caller keeps.
+	// maxOpen is the number of connections that the caller keeps and of the upstream's
+	// slots, far above the one or two requests that are open at 500 a second.
 	maxOpen = 64
 
 	callerService, upstreamService = "caller", "desk"
@@ -64,9 +65,8 @@
 	DirectMs  Times `json:"directMs"`
 	ThroughMs Times `json:"throughMs"`
 	AddedMs   Times `json:"addedMs"`
-	// ProcessorUs is what both nodes take of the processor for a request, their rest
-	// included: that of the process with requests over nodes and straight to the
-	// upstream, without that of the latter alone.
+	// ProcessorUs is what both nodes take of the processor for a request, without what
+	// they take at rest.
 	ProcessorUs float64 `json:"processorUs"`
 }
 
@@ -186,17 +186,29 @@
 	}
 	row := Row{Rate: rate, Requests: len(through), DirectMs: quantiles(direct), ThroughMs: quantiles(through)}
 	row.AddedMs = Times{P50: row.ThroughMs.P50 - row.DirectMs.P50, P99: row.ThroughMs.P99 - row.DirectMs.P50}
-	row.ProcessorUs = float64((both - 2*alone).Microseconds()) / float64(max(1, len(through)))
+	_, _, rest, err := b.play(ctx, load{}, length)
+	if err != nil {
+		return Row{}, err
+	}
+	row.ProcessorUs = nodesShare(both, alone, rest, len(through))
 	return row, nil
 }
 
+// nodesShare returns the processor time of both nodes for a request, in microseconds. A
+// play with requests both ways has the rest of the mesh, the caller and the upstream of
+// all requests and the nodes of one half; one straight to the upstream has the rest, and
+// the caller and the upstream of its requests.
+func nodesShare(both, straight, rest time.Duration, requests int) float64 {
+	return float64((both - 2*straight + rest).Microseconds()) / float64(max(1, requests))
+}
+
 // play sends requests at random times, and returns how long they took each way and the
 // processor time of the process.
 func (b *bench) play(ctx context.Context, l load, length time.Duration) (through, direct []time.Duration, busy time.Duration, err error) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var failed error
-	before := processor.Time()
+	before, end := processor.Time(), time.Now().Add(length)
 	way := func(url string, rate int, took *[]time.Duration) {
 		b.poisson(ctx, rate, length, &all, func(id string) {
 			t, callErr := b.call(ctx, url, id)
@@ -208,6 +220,7 @@
 	all.Go(func() { way(b.through, l.through, &through) })
 	all.Go(func() { way(b.direct, l.direct, &direct) })
 	all.Wait()
+	time.Sleep(time.Until(end)) // without requests the mesh rests for as long
 	return through, direct, processor.Time() - before, errors.Join(failed, ctx.Err())
 }
 
--- a/pkg/bench/latency/latency_test.go
+++ b/pkg/bench/latency/latency_test.go
@@ -21,7 +21,7 @@
 	row := report.Rows[0]
 	is.True(row.Requests > 10)
 	is.True(row.ThroughMs.P50 > row.DirectMs.P50)
-	is.True(row.AddedMs.P99 >= row.AddedMs.P50)
+	is.True(row.AddedMs.P99 > row.AddedMs.P50)
 	var out strings.Builder
 	is.NoErr(report.Print(&out))
 	is.Equal(strings.Count(out.String(), "\n"), 2)
--- a/pkg/dispatch/place_test.go
+++ b/pkg/dispatch/place_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -150,6 +151,32 @@
 	is.True(r.tried["a"])
 }
 
+// An unexpected error while a try is sent, also in a goroutine of its own, ends that try
+// only, as one that may have run.
+func TestUnexpectedErrorEndsItsTryOnly(t *testing.T) {
+	is := is.New(t)
+	reported := make(chan string, 1)
+	s := New(Options{
+		Send: func(context.Context, string, *link.Call, time.Duration) (*link.Answer, error) {
+			panic("no such call")
+		},
+		Panicked: func(where string, _ any, _ []byte) { reported <- where },
+		Silent:   func(string, float64, bool) {},
+	})
+	r := &request{route: &meshconf.Route{Idempotent: true}}
+	a := &attempt{}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.send(t.Context(), r, a)
+	}()
+	<-ended
+	is.Equal(<-reported, "try")
+	is.Equal(a.answer.Reason, ReasonInternal)
+	is.Equal(a.answer.Outcome, link.Unknown)
+	is.True(a.answer.Arrived)
+}
+
 // A split keeps its weights over any hundred requests.
 func TestSplitKeepsWeights(t *testing.T) {
 	is := is.New(t)
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
@@ -70,6 +71,8 @@
 	Poisoned func(fingerprint uint64) bool
 	// Observe is told how each request ended.
 	Observe func(r *Record)
+	// Panicked is told of unexpected errors while a try is sent.
+	Panicked guard.Report
 	// Repeated is told of each request that is placed again.
 	Repeated func(r *Record, reason string, verdict Next, allowed bool)
 	// Silent is told when the upstream of a node begins or ends to be avoided, since
--- a/pkg/dispatch/try.go
+++ b/pkg/dispatch/try.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
 	"github.com/tarragondrum/tarragondrum/pkg/intake"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
@@ -97,7 +98,12 @@
 	}
 	s.begin(a.host.Node, r.route.LargeAnswers)
 	start := time.Now()
-	answer, err := s.options.Send(ctx, a.host.Node, &a.call, wait)
+	var answer *link.Answer
+	var err error
+	// A try of its own goroutine is out of reach of the guard of its request.
+	if guard.Run("try", s.options.Panicked, func() { answer, err = s.options.Send(ctx, a.host.Node, &a.call, wait) }) != nil {
+		answer = &link.Answer{Outcome: link.Unknown, Reason: ReasonInternal, Arrived: true}
+	}
 	s.ended(a.host.Node, r, answer, time.Since(start))
 	if err != nil {
 		answer = lostAnswer(ctx, err)
--- a/pkg/host/contacts.go
+++ b/pkg/host/contacts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 )
 
@@ -60,7 +61,7 @@
 }
 
 // lookAtContacts reports whether other contacts have to be found: one is not connected
-// or says nothing, or one that was passed over is heard again.
+// or is passed over, or one that was can be used again.
 func (p *peers) lookAtContacts(now time.Time) (others bool) {
 	for node := range p.tree.wantedContacts() {
 		peer := p.open(node)
@@ -69,33 +70,27 @@
 			continue
 		}
 		heard, ok := peer.Heard()
-		if ok && p.tree.look(node, now, heard) {
+		if !ok {
+			continue
+		}
+		ask, passed := p.tree.look(node, now, heard)
+		if ask {
 			peer.Ask()
 		}
-		others = others || ok && p.tree.isPassed(node, heard)
+		if passed {
+			p.node.log.Emit(event.ContactPassed, event.F("peer", node), event.F("silentMs", now.Sub(heard).Milliseconds()))
+			others = true
+		}
 	}
 	for _, node := range p.tree.passedOver() {
-		others = others || p.hears(node)
+		if p.mayContact(node) {
+			p.tree.forgetSilence(node)
+			others = true
+		}
 	}
 	return others
 }
 
-// hears reports whether a node is not connected, so that its connection decides, or was
-// heard after it was passed over.
-func (p *peers) hears(node string) bool {
-	peer := p.open(node)
-	if peer == nil {
-		p.tree.forgetSilence(node)
-		return true
-	}
-	heard, ok := peer.Heard()
-	if !ok || p.tree.isPassed(node, heard) {
-		return false
-	}
-	p.tree.forgetSilence(node)
-	return true
-}
-
 // mayContact reports whether a node can be a contact: it is reached and says something.
 func (p *peers) mayContact(node string) bool {
 	if !p.reachable(node) {
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -193,6 +193,7 @@
 		Budget:     n.budget,
 		Poisoned:   n.poisoned,
 		Observe:    n.observer.request,
+		Panicked:   n.panicked,
 		Repeated:   n.observer.repeated,
 		Silent: func(node string, share float64, avoided bool) {
 			e := event.UpstreamAnswers
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -35,7 +35,7 @@
 	// followers are the nodes that have this one as a contact.
 	followers map[string]func(*link.News) bool
 	number    uint64
-	// silences are those of contacts that said nothing for a while.
+	// silences are those of contacts, and of nodes that were passed over.
 	silences map[string]*fleet.Silence
 	// heard are the newest announcements by rank.
 	heard map[string]announcement
@@ -107,25 +107,18 @@
 	return t.wanted[node]
 }
 
-// look takes in when a contact was heard, and reports whether to ask it for a sign of
-// life.
-func (t *tree) look(node string, now, heard time.Time) (ask bool) {
+// look takes in when a contact was heard. It reports whether to ask it for a sign of life
+// and whether it is passed over.
+func (t *tree) look(node string, now, heard time.Time) (ask, passed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.silences[node]
 	if s == nil {
-		if now.Sub(heard) <= fleet.AskAfter {
-			return false
-		}
 		s = &fleet.Silence{}
 		t.silences[node] = s
 	}
-	wasPassed := s.IsPassed(heard)
 	ask = s.Look(now, heard)
-	if s.IsPassed(heard) && !wasPassed {
-		t.node.log.Emit(event.ContactPassed, event.F("peer", node), event.F("silentMs", now.Sub(heard).Milliseconds()))
-	}
-	return ask
+	return ask, s.IsPassed(heard)
 }
 
 // isPassed reports whether a node that was heard last at a time is passed over.
@@ -136,7 +129,7 @@
 	return s != nil && s.IsPassed(heard)
 }
 
-// passedOver returns the nodes that said nothing for a while and are no contacts now.
+// passedOver returns the nodes that were contacts and are none now.
 func (t *tree) passedOver() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -92,7 +92,7 @@
 func (p *Peers) WithdrawnSerials() []*big.Int {
 	list := make([]*big.Int, 0, len(p.Withdrawn))
 	for _, text := range p.Withdrawn {
-		if serial, ok := pki.ParseSerial(text); ok { // Check refuses others
+		if serial, ok := pki.ParseSerial(text); ok { // settings with others are refused
 			list = append(list, serial)
 		}
 	}
--- a/pkg/intake/standing.go
+++ b/pkg/intake/standing.go
@@ -7,8 +7,8 @@
 	// upstream counts as failing: of one that spoils a third of its answers, one row in
 	// 27 is that long.
 	garbledRow = 3
-	// garbledFailing is the share that such an upstream reports at least, above the one
-	// from which nodes prefer others.
+	// garbledFailing is the share that such an upstream reports at least. Nodes prefer
+	// others from 0.5 on, and count a report half after 2 s: for some 1.2 s.
 	garbledFailing = 0.75
 )
 
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -166,7 +166,8 @@
 	return s.start.Add(time.Duration(s.heard.Load())), true
 }
 
-// Ask asks the peer for a sign of life, which Heard shows.
+// Ask asks the peer for a sign of life, which Heard shows. Without a connection it does
+// nothing.
 func (p *Peer) Ask() {
 	if s := p.current(); s != nil {
 		s.send(&frame{Kind: kindPing})
--- a/pkg/link/sealed_test.go
+++ b/pkg/link/sealed_test.go
@@ -33,6 +33,24 @@
 	return ca
 }
 
+var noEvents = link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}}
+
+// listenSealed starts a server that answers every call, and returns its address.
+func listenSealed(t *testing.T, self link.Identity) string {
+	t.Helper()
+	s := &link.Server{
+		Self: self,
+		Handle: func(context.Context, string, *link.Call) *link.Answer {
+			return &link.Answer{Outcome: link.Ran, Status: 200}
+		},
+		Events: noEvents,
+	}
+	address := freeAddress(t)
+	is.New(t).NoErr(s.Listen(address))
+	t.Cleanup(func() { _ = s.Close() })
+	return address
+}
+
 // Sealed connections carry calls between nodes that prove their names to each
 // other, and none else.
 func TestOnlyCertifiedNodesConnect(t *testing.T) {
@@ -51,17 +69,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &link.Server{
-				Self: link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "b")},
-				Handle: func(context.Context, string, *link.Call) *link.Answer {
-					return &link.Answer{Outcome: link.Ran, Status: 200}
-				},
-				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}},
-			}
-			address := freeAddress(t)
-			is.NoErr(s.Listen(address))
-			t.Cleanup(func() { _ = s.Close() })
-			p := link.NewPeer(tt.caller, tt.target, address, s.Events)
+			address := listenSealed(t, link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: credentials(t, ours, "b")})
+			p := link.NewPeer(tt.caller, tt.target, address, noEvents)
 			t.Cleanup(p.Close)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
@@ -85,16 +94,7 @@
 			ca := authority(t)
 			life := func() int64 { return 1 }
 			all := map[string]*pki.Credentials{"a": credentials(t, ca, "a"), "b": credentials(t, ca, "b"), "c": credentials(t, ca, "c")}
-			s := &link.Server{
-				Self: link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: all["b"]},
-				Handle: func(context.Context, string, *link.Call) *link.Answer {
-					return &link.Answer{Outcome: link.Ran, Status: 200}
-				},
-				Events: link.Events{Up: func(string) {}, Down: func(string, error) {}, News: func(string, *link.News, func(*link.News) bool) {}},
-			}
-			address := freeAddress(t)
-			is.NoErr(s.Listen(address))
-			t.Cleanup(func() { _ = s.Close() })
+			address := listenSealed(t, link.Identity{Node: "b", Incarnation: life, Pulse: pulse, Credentials: all["b"]})
 			call := func(p *link.Peer) error {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -102,7 +102,7 @@
 				return err
 			}
 			peer := func(node string) *link.Peer {
-				p := link.NewPeer(link.Identity{Node: node, Incarnation: life, Pulse: pulse, Credentials: all[node]}, "b", address, s.Events)
+				p := link.NewPeer(link.Identity{Node: node, Incarnation: life, Pulse: pulse, Credentials: all[node]}, "b", address, noEvents)
 				t.Cleanup(p.Close)
 				return p
 			}
