Log and export the limit that an upstream names

Change: platform.DecodeNotice reads both headers; the node beside the upstream logs changes with the requests sent since the last one (831, 832, 833) and exports the limit. No request is handled differently.

--- a/pkg/event/upstream.go
+++ b/pkg/event/upstream.go
@@ -11,5 +11,8 @@
 	UpstreamRecovered  = register(826, "upstream-recovered", LevelInfo, "the upstream of this host, which did not listen, answered a request", "")
 	RouteMeanHalved    = register(827, "route-mean-halved", LevelInfo, "the mean duration of a route was halved, because it alone made the node refuse the route's requests and no recent answer corrected it", "")
 	UpstreamAvoided    = register(828, "upstream-avoided", LevelWarn, "requests to the upstream of a host get no answer; it is used only if no other is left", "Check that host and the links to its data centre.")
+	UpstreamLimited    = register(831, "upstream-limited", LevelWarn, "the upstream of this host named another limit of requests a second in an answer, or none; requests is the number that this node sent to it in the forMs before", "Check the upstream's own log.")
+	NoticeUnreadable   = register(832, "upstream-notice-unreadable", LevelWarn, "an answer of the upstream of this host names a limit that is not a number; the previous limit stays in force", "Check the upstream.")
+	UpstreamLeaving    = register(833, "upstream-leaving", LevelInfo, "an answer of the upstream of this host says that it leaves", "")
 	UpstreamReinstated = register(829, "upstream-reinstated", LevelInfo, "the upstream of a host that was avoided answered again", "")
 )
--- /dev/null
+++ b/pkg/fleet/notice.go
@@ -0,0 +1,16 @@
+package fleet
+
+// Notice is what an upstream tells about itself in an answer, in addition to its heartbeats.
+type Notice struct {
+	// Limited is set if the upstream accepts at most LimitPerS requests a second from all
+	// nodes together.
+	Limited   bool    `cbor:"1,keyasint,omitempty"`
+	LimitPerS float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving is set if the upstream drains. The same process never accepts requests again.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+}
+
+// SameLimit reports whether two notices name the same limit, or none.
+func (n Notice) SameLimit(other Notice) bool {
+	return n.Limited == other.Limited && n.LimitPerS == other.LimitPerS
+}
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -177,7 +177,7 @@
 			c.keepAlive = keep
 		}
 		stripHop(r.header)
-		return &Response{Status: r.status, Header: r.header, Body: r.body, Held: r.held}, reusable, nil
+		return &Response{Status: r.status, Header: r.header, Body: r.body, Held: r.held, HeadAt: r.headAt}, reusable, nil
 	}
 	return nil, false, errOtherResponses
 }
@@ -196,6 +196,7 @@
 	body   []byte
 	held   *memory.Reservation
 	closes bool // the connection ends after the response
+	headAt time.Time
 }
 
 // readOne reads the next final response completely and skips interim responses.
@@ -212,13 +213,14 @@
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
 			continue
 		}
+		headAt := time.Now()
 		held := answers.NewReservation()
 		body, err := c.readBody(ctx, r, held, bodyBounds(q, answers.Limit()))
 		if err != nil {
 			held.Release()
 			return nil, err
 		}
-		return &rawResponse{status: r.StatusCode, header: r.Header, body: body, held: held, closes: r.Close || unframed(r)}, nil
+		return &rawResponse{status: r.StatusCode, header: r.Header, body: body, held: held, closes: r.Close || unframed(r), headAt: headAt}, nil
 	}
 	return nil, fmt.Errorf("%d interim responses: %w", maxInterimResponses, errSyntax)
 }
--- a/pkg/h1/message.go
+++ b/pkg/h1/message.go
@@ -40,6 +40,8 @@
 	Held *memory.Reservation
 	// Close closes the connection after the response.
 	Close bool
+	// HeadAt is when the status line and headers had been read, for a response of a peer.
+	HeadAt time.Time
 }
 
 // hopHeaders are the headers that apply to one connection only and are never forwarded.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -136,6 +136,7 @@
 	n.lead = &lead{node: n, jitter: jitter, election: fleet.NewLeadElection(rankOf(s), takeOverDelay(s, jitter))}
 	n.intake = n.newIntake(s)
 	n.dispatch = n.newDispatch(s)
+	n.observer.watchUpstreamLimit(n.registry, n.intake)
 	n.outbound = &h1.Server{
 		Handle: n.dispatch.Handle,
 		Refuse: func(status int, err error) *h1.Response {
@@ -170,6 +171,8 @@
 		OnMeanHalved: func(route string, mean time.Duration) {
 			n.log.Emit(event.RouteMeanHalved, event.F("route", route), event.F("meanMs", mean.Milliseconds()))
 		},
+		DecodeNotice: platform.DecodeNotice,
+		OnNotice:     n.upstreamNotice,
 		OnOutcome: func(c *link.Call, a *link.Answer, t intake.Timing) {
 			if a.Outcome == link.Ran && a.Status < 500 {
 				n.suspects.Completed(c.Fingerprint)
@@ -208,6 +211,9 @@
 	})
 }
 
+// upstreamNotice processes what the upstream of this host tells about itself in an answer.
+func (n *Node) upstreamNotice(u fleet.Upstream, c intake.NoticeChange) { n.observer.notice(u, c) }
+
 // panicked logs and counts a recovered panic.
 func (n *Node) panicked(where string, value any, stack []byte) {
 	n.observer.panics.WithLabelValues(where).Inc()
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -1,13 +1,16 @@
 package host
 
 import (
+	"math"
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
 	"github.com/tarragondrum/tarragondrum/pkg/dispatch"
 	"github.com/tarragondrum/tarragondrum/pkg/event"
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/intake"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
@@ -72,6 +75,39 @@
 	metric.Gauge(r, "uplink_wait_seconds", "Time that a new large answer waits for the host's link.", func() float64 { return uplink.Backlog().Seconds() })
 }
 
+// watchUpstreamLimit registers a gauge of the limit that the upstream of this host names.
+func (o *observer) watchUpstreamLimit(r *metric.Registry, s *intake.Service) {
+	metric.Gauge(r, "upstream_limit_per_second", "Requests a second that the upstream of this host accepts from all nodes together, +Inf without a limit.", func() float64 {
+		if perS, limited := s.LimitPerS(); limited {
+			return perS
+		}
+		return math.Inf(1)
+	})
+}
+
+// notice logs what the upstream of this host tells about itself in an answer.
+func (o *observer) notice(u fleet.Upstream, c intake.NoticeChange) {
+	about := []event.Field{event.F("upstream", u.ID), event.F("born", u.Born)}
+	if c.Err != nil {
+		o.log.Emit(event.NoticeUnreadable, append(about, event.F("error", c.Err))...)
+	}
+	if !c.After.SameLimit(c.Before) {
+		o.log.Emit(event.UpstreamLimited, append(about, event.F("from", formatLimit(c.Before)), event.F("to", formatLimit(c.After)),
+			event.F("requests", c.Requests), event.F("forMs", time.Since(c.Since).Milliseconds()))...)
+	}
+	if c.After.Leaving && !c.Before.Leaving {
+		o.log.Emit(event.UpstreamLeaving, about...)
+	}
+}
+
+// formatLimit returns the requests a second that a notice allows, or "none".
+func formatLimit(n fleet.Notice) string {
+	if !n.Limited {
+		return "none"
+	}
+	return strconv.FormatFloat(n.LimitPerS, 'f', -1, 64)
+}
+
 // allow reports whether a limiter permits a log line, and counts those that it does not.
 func (o *observer) allow(l *rate.Limiter) bool {
 	if l.Allow() {
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -50,6 +50,10 @@
 	OnRecovery func(u fleet.Upstream)
 	// OnMeanHalved is called when the mean time of a route was halved. See staleMeanAfter.
 	OnMeanHalved func(route string, mean time.Duration)
+	// DecodeNotice decodes what an answer tells about the upstream.
+	DecodeNotice func(h http.Header) (fleet.Notice, error)
+	// OnNotice is called when the upstream tells something new about itself.
+	OnNotice func(u fleet.Upstream, c NoticeChange)
 	// OnOutcome is called with the outcome of each request.
 	OnOutcome func(c *link.Call, a *link.Answer, t Timing)
 }
@@ -75,6 +79,7 @@
 	// running maps the ids of the requests at the upstream to their fingerprints.
 	running map[uint64]uint64
 	health  health
+	notice  noticeState
 	// sizes estimates how many bytes the large answers will send.
 	sizes sizes
 	// down is set while the upstream does not listen, and probeAt is when the next request is
@@ -98,6 +103,7 @@
 	defer s.mu.Unlock()
 	if u.ID != s.upstream.ID || u.Born != s.upstream.Born {
 		s.health, s.down = health{}, false
+		s.notice.reset(time.Now())
 		s.options.Pool.CloseIdle()
 	}
 	s.upstream = u
@@ -325,7 +331,13 @@
 	header.Set(h.Deadline, formatMillis(deadline.Sub(start)))
 	header.Set(h.Expected, u.ID)
 	q := &h1.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, LargeAnswer: c.LargeAnswer}
+	s.mu.Lock()
+	s.notice.requests++
+	s.mu.Unlock()
 	response, failure := s.options.Pool.Exchange(ctx, q, h.RequestID, !c.Idempotent)
+	if failure == nil {
+		s.recordNotice(u, response)
+	}
 	a := s.interpret(response, failure)
 	s.recordSize(id, c, a)
 	if failure != nil && (failure.Kind == h1.FailBroken || failure.Kind == h1.FailConnect) {
--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,6 +43,8 @@
 			defer seen.mu.Unlock()
 			seen.revivals++
 		},
+		DecodeNotice: decodeNotice,
+		OnNotice:     func(fleet.Upstream, intake.NoticeChange) {},
 		OnMeanHalved: func(string, time.Duration) {},
 		OnOutcome:    func(*link.Call, *link.Answer, intake.Timing) {},
 	})
@@ -158,3 +161,12 @@
 	}
 	is.True(s.Load().FailureRate < 0.5)
 }
+
+// decodeNotice reads a limit from the header "Limit".
+func decodeNotice(h http.Header) (fleet.Notice, error) {
+	if h.Get("Limit") == "" {
+		return fleet.Notice{}, nil
+	}
+	perS, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return fleet.Notice{Limited: true, LimitPerS: perS}, err
+}
