Enforce the limit that an upstream names at the node beside it

Callers saw nothing; upstreams in need got twice what they could take. Cause: an upstream's answer could restrict one request only. What it says of itself in the headers of an answer was passed on and read by no node, so placing and admission went by slots and answer times alone. The class of fault: state that arrives in data is forwarded but not acted upon. Change: the node beside the upstream, through which all its requests go, lets a request start only if a slot is free and the limit allows one more, with a burst of one second. Waiting, refusing and Retry-After count the limit in; 'rate-limited' is a reason of its own. Load reports carry the limit, so that first nodes place requests elsewhere. A call carries the limit that its node knows: a restarted node enforces that until the first answer. The tick of the queue is no longer put off by each request that waits.

--- a/pkg/dispatch/candidate.go
+++ b/pkg/dispatch/candidate.go
@@ -69,6 +69,8 @@
 	Report       link.Load
 	ReportAge    time.Duration
 	InFlightThen int
+	// StartedSince is the number of requests that this node sent there since the report.
+	StartedSince int
 	// LargeSince is the number of large answers that this node awaits from the upstream
 	// beyond those that it awaited when the report arrived.
 	LargeSince int
@@ -92,8 +94,34 @@
 	return max(own, share*reported+(1-share)*own)
 }
 
-// Full reports whether a request would probably have to wait for a slot at the upstream.
-func (c *Candidate) Full() bool { return c.occupied()+1 > float64(max(1, c.Slots)) }
+// freeOfLimit estimates how many requests the upstream's limit allows at once, negative if
+// requests wait for it. It is only defined for a reported limit.
+func (c *Candidate) freeOfLimit() float64 { return c.Report.Limit.Free - float64(c.StartedSince) }
+
+// limitWait estimates how long a request would wait for the upstream's limit of requests a
+// second.
+func (c *Candidate) limitWait() time.Duration {
+	if c.ReportAge < 0 || c.Report.Limit == nil {
+		return 0
+	}
+	missing := max(0, 1-c.freeOfLimit())
+	return millis(1000 * missing / c.Report.Limit.PerS * decay(c.ReportAge, reportHalfLife))
+}
+
+// limitLoad estimates which share of its limit of requests a second the upstream gets.
+func (c *Candidate) limitLoad() float64 {
+	if c.ReportAge < 0 || c.Report.Limit == nil {
+		return 0
+	}
+	free := c.freeOfLimit() / max(1, c.Report.Limit.PerS)
+	return min(max(0, 1-free), 1) * decay(c.ReportAge, reportHalfLife)
+}
+
+// Full reports whether a request would probably have to wait at the upstream, for a slot or
+// for its limit of requests a second.
+func (c *Candidate) Full() bool {
+	return c.occupied()+1 > float64(max(1, c.Slots)) || c.limitWait() > 0
+}
 
 // failing estimates the share of requests that fail at the upstream.
 func (c *Candidate) failing() float64 {
@@ -172,9 +200,9 @@
 	slots := float64(max(1, c.Slots))
 	occupied := c.occupied()
 	wait := max(0, occupied+1-slots) / slots
-	load := min(1, occupied/slots)
+	load := max(min(1, occupied/slots), c.limitLoad())
 	cost := float64(mean)*(meanTimeShare+wait) + float64(fullLoadCost)*load*load
-	cost += float64(c.linkTime(o))
+	cost += float64(c.linkTime(o)) + float64(c.limitWait())
 	cost *= 1 + failingCostFactor*c.failing()
 	switch {
 	case c.Region != o.Region:
--- a/pkg/dispatch/choose.go
+++ b/pkg/dispatch/choose.go
@@ -127,6 +127,7 @@
 	c.InFlight, c.Unanswered = e.inFlight, e.silence.Value(now)
 	if !e.reportAt.IsZero() {
 		c.Report, c.ReportAge, c.InFlightThen = e.report, now.Sub(e.reportAt), e.inFlightThen
+		c.StartedSince = e.startedSince
 		c.LargeSince = max(0, e.large-e.largeThen)
 	}
 	return c
@@ -142,6 +143,7 @@
 		s.endpoints[node] = e
 	}
 	e.inFlight++
+	e.startedSince++
 	if large {
 		e.large++
 	}
@@ -186,6 +188,7 @@
 func (s *Service) updateMeans(e *endpoint, r *request, a *link.Answer, took time.Duration) {
 	if a != nil && a.Load.Slots > 0 {
 		e.report, e.reportAt, e.inFlightThen, e.largeThen = a.Load, time.Now(), e.inFlight, e.large
+		e.startedSince = 0
 	}
 	if a != nil && a.Outcome == link.Ran {
 		size := float64(len(a.Body) + len(r.req.Body))
--- /dev/null
+++ b/pkg/dispatch/notice.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/link"
+)
+
+// recordNotice stores what an answer tells about the upstream of a host. Other nodes' answers
+// are not known here; the node beside the upstream sees all of them.
+func (s *Service) recordNotice(host *fleet.Host, a *link.Answer) {
+	if a == nil || a.Outcome != link.Ran {
+		return
+	}
+	next, err := s.options.DecodeNotice(a.Header)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[host.Node]
+	if !e.knows(host) {
+		e.notice, e.noticeOf = fleet.Notice{}, host.Upstream
+	}
+	if err != nil {
+		// The node beside the upstream logs the error.
+		next.Limited, next.LimitPerS = e.notice.Limited, e.notice.LimitPerS
+	}
+	e.notice = next
+}
+
+// knows reports whether the notice of an endpoint is of the host's current upstream process.
+func (e *endpoint) knows(host *fleet.Host) bool {
+	return e.noticeOf.ID == host.Upstream.ID && e.noticeOf.Born == host.Upstream.Born
+}
+
+// knownLimit returns the limit that the upstream of a host named in its newest answer to this
+// node, nil if it named none.
+func (s *Service) knownLimit(host *fleet.Host) *float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[host.Node]
+	if e == nil || !e.knows(host) || !e.notice.Limited {
+		return nil
+	}
+	perS := e.notice.LimitPerS
+	return &perS
+}
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -70,6 +70,8 @@
 	Budget    func() RetryLimits
 	// Poisoned reports whether requests with this fingerprint crash upstreams.
 	Poisoned func(fingerprint uint64) bool
+	// DecodeNotice decodes what an answer tells about its upstream.
+	DecodeNotice func(h http.Header) (fleet.Notice, error)
 	// OnFinish is called when a request has ended.
 	OnFinish func(r *Record)
 	// OnPanic is called with a panic that occurred during a try.
@@ -115,7 +117,12 @@
 	// value when the newest report arrived.
 	large     int
 	largeThen int
-	silence   UnansweredShare
+	// startedSince counts the requests that were sent since the newest report.
+	startedSince int
+	// notice is what the upstream process noticeOf told in its newest answer to this node.
+	notice   fleet.Notice
+	noticeOf fleet.Upstream
+	silence  UnansweredShare
 	// avoided reports whether the upstream is avoided because it does not answer, as last
 	// passed to Options.OnAvoidChange.
 	avoided bool
--- a/pkg/dispatch/try.go
+++ b/pkg/dispatch/try.go
@@ -84,6 +84,7 @@
 	now := time.Now()
 	call := r.call
 	call.UpstreamID = host.Upstream.ID
+	call.KnownLimit = s.knownLimit(&host)
 	call.RemainingMs = max(1, r.deadline.Sub(now).Milliseconds())
 	call.LatencyTargetMs = r.target.Sub(now).Milliseconds()
 	r.tried[host.Node] = true
@@ -108,6 +109,7 @@
 		answer = &link.Answer{Outcome: link.Unknown, Reason: ReasonInternal, ReachedUpstream: true}
 	}
 	s.tryEnded(a.host.Node, r, answer, time.Since(start))
+	s.recordNotice(&a.host, answer)
 	if err != nil {
 		answer = answerForError(ctx, err)
 	}
@@ -128,7 +130,7 @@
 			// The try was a hedge, which must not wait. The next try at this host may.
 			delete(r.tried, a.host.Node)
 		}
-	case string(intake.TooLate), string(intake.LinkFull):
+	case string(intake.TooLate), string(intake.RateLimited), string(intake.LinkFull):
 		r.waitRefusals++
 	}
 }
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -198,6 +198,7 @@
 		Reachable:       n.peers.reachable,
 		Budget:          n.budget,
 		Poisoned:        n.poisoned,
+		DecodeNotice:    platform.DecodeNotice,
 		OnFinish:        n.observer.request,
 		OnPanic:         n.panicked,
 		OnRetryDecision: n.observer.repeated,
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -92,7 +92,7 @@
 		o.log.Emit(event.NoticeUnreadable, append(about, event.F("error", c.Err))...)
 	}
 	if !c.After.SameLimit(c.Before) {
-		o.log.Emit(event.UpstreamLimited, append(about, event.F("from", formatLimit(c.Before)), event.F("to", formatLimit(c.After)),
+		o.log.Emit(event.UpstreamLimited, append(about, event.F("from", formatLimit(c.Before)), event.F("to", formatLimit(c.After)), event.F("fromPeer", c.FromPeer),
 			event.F("requests", c.Requests), event.F("forMs", time.Since(c.Since).Milliseconds()))...)
 	}
 	if c.After.Leaving && !c.Before.Leaving {
@@ -108,6 +108,14 @@
 	return strconv.FormatFloat(n.LimitPerS, 'f', -1, 64)
 }
 
+// formatLoadLimit returns the requests a second that a load report allows, or "none".
+func formatLoadLimit(l *link.Limit) string {
+	if l == nil {
+		return formatLimit(fleet.Notice{})
+	}
+	return formatLimit(fleet.Notice{Limited: true, LimitPerS: l.PerS})
+}
+
 // allow reports whether a limiter permits a log line, and counts those that it does not.
 func (o *observer) allow(l *rate.Limiter) bool {
 	if l.Allow() {
@@ -173,7 +181,7 @@
 		event.F("reason", a.Reason), event.F("outcome", a.Outcome), event.F("arrived", a.ReachedUpstream),
 		event.F("waitedMs", t.Waited.Milliseconds()), event.F("tookMs", t.Took.Milliseconds()), event.F("leftMs", c.RemainingMs),
 		event.F("running", a.Load.Running), event.F("queued", a.Load.Queued), event.F("slots", a.Load.Slots),
-		event.F("meanMs", int(a.Load.MeanMs)), event.F("routeMeanMs", t.RouteMean.Milliseconds()), event.F("retryAfterMs", a.RetryAfterMs))
+		event.F("limit", formatLoadLimit(a.Load.Limit)), event.F("meanMs", int(a.Load.MeanMs)), event.F("routeMeanMs", t.RouteMean.Milliseconds()), event.F("retryAfterMs", a.RetryAfterMs))
 }
 
 // storeCall counts a call to the store.
--- a/pkg/intake/notice.go
+++ b/pkg/intake/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
+	"github.com/tarragondrum/tarragondrum/pkg/link"
 )
 
 // NoticeChange describes an answer whose notice differs from that of the answer before it.
@@ -15,6 +16,8 @@
 	// limit, and Since the time of that change.
 	Requests int
 	Since    time.Time
+	// FromPeer is set if another node sent the notice, and not the upstream.
+	FromPeer bool
 	// Err tells why the limit in the answer cannot be read. The limit Before stays in force.
 	Err error
 }
@@ -64,13 +67,46 @@
 		s.mu.Unlock()
 		return
 	}
-	change, isNew := s.notice.update(time.Now(), r.HeadAt, next, err)
+	now := time.Now()
+	change, isNew := s.notice.update(now, r.HeadAt, next, err)
+	if isNew {
+		s.applyLimit(now)
+	}
 	s.mu.Unlock()
 	if isNew {
 		s.options.OnNotice(u, change)
 	}
 }
 
+// adoptLimit takes over the limit that the calling node knows, until the first answer since
+// the start of this node shows what the upstream says itself.
+func (s *Service) adoptLimit(now time.Time, c *link.Call) {
+	if c.KnownLimit == nil {
+		return
+	}
+	s.mu.Lock()
+	if c.UpstreamID != s.upstream.ID || s.notice.Limited || !s.notice.answeredAt.IsZero() {
+		s.mu.Unlock()
+		return
+	}
+	u := s.upstream
+	change, _ := s.notice.update(now, time.Time{}, fleet.Notice{Limited: true, LimitPerS: *c.KnownLimit}, nil)
+	change.FromPeer = true
+	s.applyLimit(now)
+	s.mu.Unlock()
+	s.options.OnNotice(u, change)
+}
+
+// applyLimit enforces the limit of the newest notice. The caller holds mu.
+func (s *Service) applyLimit(now time.Time) {
+	if s.notice.Limited {
+		s.queue.SetLimit(now, s.notice.LimitPerS)
+	} else {
+		s.queue.RemoveLimit()
+	}
+	s.deliver(s.queue.Next(now, nil))
+}
+
 // LimitPerS returns the requests a second that the upstream accepts, and whether it limits
 // them.
 func (s *Service) LimitPerS() (perS float64, limited bool) {
--- a/pkg/intake/queue.go
+++ b/pkg/intake/queue.go
@@ -7,6 +7,8 @@
 import (
 	"sort"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Reason tells why a request did not get a slot.
@@ -20,6 +22,9 @@
 	TooLate Reason = "too-late"
 	// Expired: the deadline can no longer be met after the wait.
 	Expired Reason = "expired"
+	// RateLimited: the answer would come too late to be of use, because the upstream limits
+	// its requests a second.
+	RateLimited Reason = "rate-limited"
 	// LinkFull: the answer would wait too long for the host's link.
 	LinkFull Reason = "link-full"
 	// CallerGone: the caller cancelled the request.
@@ -155,6 +160,8 @@
 	means   map[string]routeMean
 	shares  RouteShares
 	mean    time.Duration
+	// limiter bounds the requests that start a second. It is nil without a limit.
+	limiter *rate.Limiter
 	// lowPriorityCredit is the slot time that less urgent requests have earned while urgent
 	// ones got the slots. See lowPriorityInterval.
 	lowPriorityCredit time.Duration
@@ -195,8 +202,11 @@
 	return max(1, n)
 }
 
-// start gives a slot to a request.
+// start gives a slot to a request and counts it against the limit.
 func (q *Queue) start(now time.Time, id uint64, route string) {
+	if q.limiter != nil {
+		q.limiter.AllowN(now, 1)
+	}
 	q.shares.Served(route)
 	q.running[id] = &started{at: now, route: route}
 }
@@ -219,7 +229,7 @@
 	if q.linkIsFull(now, &r) {
 		return Decision{Reason: LinkFull, RetryAfter: min(q.retryDelay(r.LinkWait), max(minRetryAfter, r.SoftDeadline.Sub(now)/2))}
 	}
-	if q.occupied(now) < q.slots && len(q.waiting) == 0 {
+	if len(q.waiting) == 0 && q.canStart(now) {
 		q.start(now, r.ID, r.Route)
 		return Decision{Run: true}
 	}
@@ -230,12 +240,16 @@
 		late:    now.Add(q.scaledMean(r.Route, aimFactor) + r.linkTime()).After(earlier(r.SoftDeadline, r.Deadline)),
 		starved: q.shares.Starved(r.Route) && !q.starvedWaits(),
 	}
-	wait := q.estimateWait(&w)
+	slotWait, limitWait := q.estimateWait(&w), q.limitWait(now, &w)
+	wait := max(slotWait, limitWait)
 	if !r.MayWait {
 		return Decision{Reason: NoSlot, RetryAfter: q.retryDelay(wait)}
 	}
 	if !q.mayWait(now, &w, wait) {
 		v := Decision{Reason: TooLate, RetryAfter: min(q.retryDelay(wait), q.maxTimelyRetryDelay(now, &w))}
+		if limitWait > slotWait {
+			v.Reason = RateLimited
+		}
 		if w.late {
 			v.RetryAfter = q.lateRetryDelay(now, &w)
 			v.HalvedMean = q.halveStaleMean(now, r.Route)
@@ -325,7 +339,7 @@
 		kept = append(kept, w)
 	}
 	q.waiting = kept
-	for len(q.waiting) > 0 && q.occupied(now) < q.slots {
+	for len(q.waiting) > 0 && q.canStart(now) {
 		i := q.choose()
 		w := q.waiting[i]
 		grants = append(grants, Grant{ID: w.ID})
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -87,6 +87,8 @@
 	down    bool
 	probeAt time.Time
 	timer   *time.Timer
+	// ticking is set while the timer is scheduled.
+	ticking bool
 }
 
 // New returns a service without an upstream.
@@ -104,6 +106,7 @@
 	if u.ID != s.upstream.ID || u.Born != s.upstream.Born {
 		s.health, s.down = health{}, false
 		s.notice.reset(time.Now())
+		s.queue.RemoveLimit()
 		s.options.Pool.CloseIdle()
 	}
 	s.upstream = u
@@ -146,6 +149,7 @@
 		UplinkWaitMs: toMillis(s.linkWait()), UplinkMsPerKB: toMillis(kilobyte),
 		Running: s.queue.Running(), Queued: s.queue.Queued(), Slots: s.queue.Slots(),
 		MeanMs: toMillis(s.queue.Mean()), FailureRate: failing,
+		Limit: s.queue.Limit(time.Now()),
 	}
 }
 
@@ -173,6 +177,7 @@
 // handle returns the answer to a call, and how long the call waited for a slot.
 func (s *Service) handle(ctx context.Context, c *link.Call, start time.Time) (*link.Answer, time.Duration) {
 	deadline := start.Add(time.Duration(c.RemainingMs) * time.Millisecond)
+	s.adoptLimit(start, c)
 	id, upstream, refusal := s.admit(ctx, c, start, deadline)
 	waited := time.Since(start)
 	if refusal != nil {
@@ -243,7 +248,7 @@
 	}
 	granted := make(chan Grant, 1)
 	s.waiters[id] = granted
-	s.setTimer(now)
+	s.scheduleTick()
 	s.mu.Unlock()
 	return s.wait(ctx, c, id, granted)
 }
@@ -292,17 +297,22 @@
 // longer be met.
 const tickInterval = 25 * time.Millisecond
 
-// setTimer schedules the next tick.
-func (s *Service) setTimer(time.Time) { s.timer.Reset(tickInterval) }
+// scheduleTick schedules the next tick, unless it is scheduled already.
+func (s *Service) scheduleTick() {
+	if !s.ticking {
+		s.ticking = true
+		s.timer.Reset(tickInterval)
+	}
+}
 
 // tick lets the queue grant slots and refuse requests whose deadline can no longer be met.
 func (s *Service) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.deliver(s.queue.Next(now, nil))
+	s.ticking = false
+	s.deliver(s.queue.Next(time.Now(), nil))
 	if s.queue.Queued() > 0 {
-		s.setTimer(now)
+		s.scheduleTick()
 	}
 }
 
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -90,6 +90,9 @@
 	Fingerprint uint64 `cbor:"16,keyasint"`
 	// LargeAnswer is set when the answer may take up the network link for a while.
 	LargeAnswer bool `cbor:"17,keyasint,omitempty"`
+	// KnownLimit is the limit, in requests a second, that the upstream named in its newest
+	// answer to the calling node.
+	KnownLimit *float64 `cbor:"18,keyasint,omitempty"`
 	// Local is set when the upstream runs on the calling node's own host.
 	Local bool `cbor:"-"`
 }
@@ -143,6 +146,18 @@
 	// long the link takes to send one kilobyte, both in milliseconds.
 	UplinkWaitMs  float64 `cbor:"6,keyasint,omitempty"`
 	UplinkMsPerKB float64 `cbor:"7,keyasint,omitempty"`
+	// Limit is the limit that the upstream named, nil without one.
+	Limit *Limit `cbor:"8,keyasint,omitempty"`
+}
+
+// Limit is the limit of an upstream's requests a second.
+type Limit struct {
+	// PerS is the number of requests a second that the upstream accepts from all nodes
+	// together.
+	PerS float64 `cbor:"1,keyasint"`
+	// Free is the number of further requests that the limit allows at once. It is negative
+	// while requests wait for the limit.
+	Free float64 `cbor:"2,keyasint"`
 }
 
 // StateUpdate is the state that nodes exchange apart from calls. Every field is optional.
