Count urgent requests to come in the wait for a limit

Cause: the wait counted only requests that already waited. With a limit of some ten a second a wait spans many arrivals, and more urgent ones go first. Change: the queue tracks the share of starts of each priority and divides the wait by what is left for the priority, at least the reserved sixth.

--- a/pkg/intake/limit.go
+++ b/pkg/intake/limit.go
@@ -49,13 +49,13 @@
 }
 
 // limitWait returns the expected time until the limit allows a new request, after all
-// requests that go before it. Less urgent requests get at least every lowPriorityInterval-th
-// start.
+// requests that go before it and the more urgent ones that will come meanwhile. Less urgent
+// requests get at least every lowPriorityInterval-th start.
 func (q *Queue) limitWait(now time.Time, r *waiting) time.Duration {
 	if q.limiter == nil {
 		return 0
 	}
-	ahead, turns := 1, 1
+	ahead, turns := 1.0, 1.0
 	for i := range q.waiting {
 		w := &q.waiting[i]
 		if w.before(r) {
@@ -65,6 +65,40 @@
 			turns++
 		}
 	}
-	missing := float64(min(ahead, turns*lowPriorityInterval)) - q.limiter.TokensAt(now)
+	free := q.limiter.TokensAt(now)
+	missing := min((ahead-free)/(1-q.starts.moreUrgent(r.Priority)), turns*lowPriorityInterval-free)
 	return time.Duration(max(0, missing) / float64(q.limiter.Limit()) * float64(time.Second))
 }
+
+const (
+	// startWeight is the weight of the newest start in startShares.
+	startWeight = 0.05
+	// maxUrgentShare bounds the expected share of more urgent requests.
+	maxUrgentShare = 1 - 1.0/lowPriorityInterval
+)
+
+// startShares tracks which share of the recent starts each priority got. The zero value is
+// ready for use.
+type startShares struct{ byPriority map[int]float64 }
+
+// count counts a start.
+func (s *startShares) count(priority int) {
+	if s.byPriority == nil {
+		s.byPriority = make(map[int]float64)
+	}
+	for p := range s.byPriority {
+		s.byPriority[p] *= 1 - startWeight
+	}
+	s.byPriority[priority] += startWeight
+}
+
+// moreUrgent returns the share of starts that went to more urgent priorities.
+func (s *startShares) moreUrgent(priority int) float64 {
+	share := 0.0
+	for p, of := range s.byPriority {
+		if p < priority {
+			share += of
+		}
+	}
+	return min(share, maxUrgentShare)
+}
--- a/pkg/intake/queue.go
+++ b/pkg/intake/queue.go
@@ -162,6 +162,7 @@
 	mean    time.Duration
 	// limiter bounds the requests that start a second. It is nil without a limit.
 	limiter *rate.Limiter
+	starts  startShares
 	// lowPriorityCredit is the slot time that less urgent requests have earned while urgent
 	// ones got the slots. See lowPriorityInterval.
 	lowPriorityCredit time.Duration
@@ -203,12 +204,13 @@
 }
 
 // start gives a slot to a request and counts it against the limit.
-func (q *Queue) start(now time.Time, id uint64, route string) {
+func (q *Queue) start(now time.Time, r *Request) {
 	if q.limiter != nil {
 		q.limiter.AllowN(now, 1)
 	}
-	q.shares.Served(route)
-	q.running[id] = &started{at: now, route: route}
+	q.starts.count(r.Priority)
+	q.shares.Served(r.Route)
+	q.running[r.ID] = &started{at: now, route: r.Route}
 }
 
 // Queued returns the number of requests that wait.
@@ -230,7 +232,7 @@
 		return Decision{Reason: LinkFull, RetryAfter: min(q.retryDelay(r.LinkWait), max(minRetryAfter, r.SoftDeadline.Sub(now)/2))}
 	}
 	if len(q.waiting) == 0 && q.canStart(now) {
-		q.start(now, r.ID, r.Route)
+		q.start(now, &r)
 		return Decision{Run: true}
 	}
 	w := waiting{
@@ -344,7 +346,7 @@
 		w := q.waiting[i]
 		grants = append(grants, Grant{ID: w.ID})
 		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-		q.start(now, w.ID, w.Route)
+		q.start(now, &w.Request)
 	}
 	return grants
 }
--- a/pkg/intake/queue_test.go
+++ b/pkg/intake/queue_test.go
@@ -240,3 +240,24 @@
 	t.Logf("%d asked, %d in time, %d late, %d refused", r.Asked, r.InAim, r.Late, r.Refused+r.Expired)
 	is.True(float64(r.InAim+r.Late) > 0.925*float64(r.Asked))
 }
+
+// Of an upstream that limits its requests a second, the queue uses the whole limit. Urgent
+// requests go first, and others that those would delay too long are refused at once.
+func TestRequestsBehindALimitAreAnsweredLate(t *testing.T) {
+	is := is.New(t)
+	const perS, seconds = 10, 20
+	q := intake.NewQueue(9)
+	q.SetLimit(time.Unix(0, 0), perS)
+	r := replay.Simulate(replay.Load{Slots: 9, Length: seconds * time.Second, Kinds: []replay.Kind{
+		{Route: "order", Priority: 1, Rate: 4, Work: 210 * ms, SoftDeadline: 600 * ms, Deadline: 1500 * ms},
+		{Route: "browse", Priority: 2, Rate: 20, Work: 160 * ms, SoftDeadline: 500 * ms, Deadline: 1200 * ms},
+	}}, q)
+	order, browse := r[0], r[1]
+	t.Logf("%+v\n%+v", order, browse)
+	is.True(order.Served()+browse.Served() <= perS*(seconds+1))
+	is.True(float64(order.Served()+browse.Served()) > 0.9*perS*seconds)
+	is.True(float64(order.InAim) > 0.85*float64(order.Asked))
+	is.True(browse.Late < browse.InAim/3) // as aimFactor: three of four in time
+	is.True(float64(browse.Expired) < 0.02*float64(browse.Asked))
+	is.Equal(order.SlowestRefusal, time.Duration(0))
+}
