Name limits and leavings in the soak and check them

Cause: no fault of the soak let an upstream say anything of itself in an answer, so neither the ignored limit nor the ignored leaving could show. Change: a drawn fault lets an upstream name 5 requests a second for 5 to 8 s, in place of one of the three draws of a new version; an upstream that leaves says so in its answers. The check counts, as the users' rules do, requests from processes that had passed on the limit half a second before, from 3 s after it was first named.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +24,10 @@
 	status     int // 0 if there was no complete answer
 	body       string
 	signature  string
+	// answered is when the answer came, and upstream, limit and leaving are what it says of
+	// its upstream, empty without a notice.
+	answered                 time.Time
+	upstream, limit, leaving string
 }
 
 // leaving is an upstream whose draining or removal its node acknowledged at a time.
@@ -64,7 +69,8 @@
 // check compares the recorded results with the requests that upstreams received, and returns
 // a message for each violation: an order that ran twice, a request that ran although its
 // caller was told that it did not, a wrong or unsigned answer, a process that went back to an
-// older version, or a request to an upstream after its drain time.
+// older version, a request to an upstream after its drain time, or more requests to an
+// upstream than the limit that it names.
 func (l *ledger) check(seen []receivedRequest) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +80,7 @@
 			ran[g.ID]++
 		}
 	}
-	violations := checkLeaving(l.leaving, seen)
+	violations := append(checkLeaving(l.leaving, seen), checkNotices(l.sent, seen)...)
 	newest := make(map[string]int) // newest version that a process served, by host and start
 	for _, s := range l.sent {
 		if s.order && ran[s.id] > 1 {
@@ -115,6 +121,69 @@
 	return violations
 }
 
+const (
+	// contactTime is how long after an upstream named a limit it may still get more.
+	contactTime = 3 * time.Second
+	// limitWindow is the time in which a limit is checked. limitFactor times the limit, and
+	// limitSlack more requests, are allowed in it.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// toldTime is how long a process may send on after it passed on a limit.
+	toldTime = 500 * time.Millisecond
+)
+
+// told identifies a process that passed on a notice of an upstream.
+type told struct {
+	host, upstream string
+	startCount     int
+}
+
+// checkNotices returns a message for each upstream that got more than its limit from
+// processes that had passed it on, and for each request that a process sent to an upstream
+// later than drainTime after it had passed on that the upstream leaves.
+func checkNotices(all []sent, seen []receivedRequest) []string {
+	byID := make(map[string]sent)
+	limited, leaving := make(map[told]time.Time), make(map[told]time.Time)
+	for _, s := range all {
+		byID[s.id] = s
+		by := told{s.host, s.upstream, s.startCount}
+		if at, known := limited[by]; s.limit != "" && (!known || s.answered.Before(at)) {
+			limited[by] = s.answered
+		}
+		if at, known := leaving[by]; s.leaving != "" && (!known || s.answered.Before(at)) {
+			leaving[by] = s.answered
+		}
+	}
+	var violations []string
+	var first receivedRequest // the first request of those that the upstream answered with one limit
+	var recent []time.Time
+	for _, g := range seen {
+		s := byID[g.ID]
+		by := told{s.host, g.upstream, s.startCount}
+		if at, known := leaving[by]; known && s.at.After(at.Add(drainTime)) {
+			violations = append(violations, fmt.Sprintf("upstream %s got %s %s after %s passed on that it leaves", g.upstream, g.ID, s.at.Sub(at), s.host))
+		}
+		if g.upstream != first.upstream || g.Limit != first.Limit {
+			first, recent = g, nil
+		}
+		at, known := limited[by]
+		if !known || g.Limit == "" || g.At.Sub(first.At) < contactTime || g.At.Sub(at) < toldTime {
+			continue
+		}
+		recent = append(recent, g.At)
+		for g.At.Sub(recent[0]) > limitWindow {
+			recent = recent[1:]
+		}
+		perS, err := strconv.ParseFloat(g.Limit, 64)
+		if most := limitFactor*perS*limitWindow.Seconds() + limitSlack; err != nil || float64(len(recent)) > most {
+			violations = append(violations, fmt.Sprintf("upstream %s got %d requests in %s with the limit %s", g.upstream, len(recent), limitWindow, g.Limit))
+			recent = nil
+		}
+	}
+	return violations
+}
+
 // isNotRun reports whether a status tells the caller that the request did not run.
 func isNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -140,6 +209,22 @@
 	missing.status = 404
 	restarted := missing
 	restarted.startCount = 2
+	notified := ok("n", "/desk/")
+	notified.answered, notified.upstream, notified.limit, notified.leaving = now, "u", "5", "1"
+	late := sent{id: "late", host: "h", startCount: 1, at: now.Add(drainTime + time.Second)}
+	elsewhere := late
+	elsewhere.startCount = 2
+	// limited returns n requests to an upstream that names a limit of 5 requests a second.
+	limited := func(n int) []receivedRequest {
+		seen := []receivedRequest{run("n", "u", now)}
+		for i := range n {
+			seen = append(seen, run("n", "u", now.Add(contactTime+time.Duration(i)*time.Millisecond)))
+		}
+		for i := range seen {
+			seen[i].Limit = "5"
+		}
+		return seen
+	}
 	for name, tt := range map[string]struct {
 		sent       []sent
 		leaving    []leaving
@@ -158,6 +243,10 @@
 		"not there yet":            {[]sent{missing, ok("p1", "/v3/")}, nil, nil, 0},
 		"another process":          {[]sent{ok("p1", "/v3/"), restarted}, nil, nil, 0},
 		"after it left":            {nil, []leaving{{"u", now}}, []receivedRequest{run("a", "u", now.Add(3*time.Second))}, 1},
+		"leaving ignored":          {[]sent{notified, late}, nil, []receivedRequest{run("late", "u", late.at)}, 1},
+		"leaving not known":        {[]sent{notified, elsewhere}, nil, []receivedRequest{run("late", "u", late.at)}, 0},
+		"limit kept":               {[]sent{notified}, nil, limited(35), 0},
+		"limit ignored":            {[]sent{notified}, nil, limited(36), 1},
 		"just before":              {nil, []leaving{{"u", now}}, []receivedRequest{run("a", "u", now.Add(time.Second)), run("b", "w", now.Add(time.Hour))}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -178,6 +178,7 @@
 	u := p.upstream
 	p.silent = true
 	p.mu.Unlock()
+	u.SetBehaviour(standin.Behaviour{Work: 20 * time.Millisecond, Header: notice(u, platform.HeaderLeaving, "1")})
 	if u.Beat(p.ip+":8082", "draining") == nil {
 		m.ledger.addLeaving(u.ID, time.Now())
 	}
@@ -257,6 +258,8 @@
 		return // truncated, and the caller can tell: counts as no answer
 	}
 	s.status, s.body, s.signature = a.StatusCode, string(body), a.Header.Get(platform.HeaderSignature)
+	s.answered, s.upstream = time.Now(), a.Header.Get(platform.HeaderUpstream)
+	s.limit, s.leaving = a.Header.Get(platform.HeaderLimit), a.Header.Get(platform.HeaderLeaving)
 }
 
 // seen returns the requests that all upstreams received.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	"testing"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/platform"
 	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
 
@@ -161,6 +162,8 @@
 		return p.link.reset
 	case 11:
 		return func() { p.link.mute(share != 0, share != 1, span) }
+	case 13:
+		return func() { m.limit(p, 4500*time.Millisecond+2*span) }
 	case 12:
 		by := time.Duration(20+random.IntN(200)) * time.Millisecond
 		return func() { p.link.slow(by, span) }
@@ -211,3 +214,19 @@
 	time.Sleep(d)
 	u.SetBehaviour(standin.Behaviour{Work: 20 * time.Millisecond})
 }
+
+// limitPerS is the limit that upstreams name, far below the load.
+const limitPerS = 5
+
+// limit lets a host's upstream name a limit for a while.
+func (m *mesh) limit(p *process, d time.Duration) {
+	p.mu.Lock()
+	u := p.upstream
+	p.mu.Unlock()
+	m.behave(p, standin.Behaviour{Work: 20 * time.Millisecond, Header: notice(u, platform.HeaderLimit, fmt.Sprint(limitPerS))}, d)
+}
+
+// notice returns the headers of an upstream's answers that hold a notice.
+func notice(u *standin.Upstream, name, value string) http.Header {
+	return http.Header{name: {value}, platform.HeaderUpstream: {u.ID}}
+}
