Let old reports of a limit no longer rule an upstream out

Cause: an upstream counted as full while any wait for its limit was left, and the weight of a report never reaches zero. Without newer answers, second tries beside the first never went there again. Change: an upstream is full if, by the weighted report, more than half a request is missing for the next one. Evidence: two more cases of TestChoose.

--- a/pkg/dispatch/candidate.go
+++ b/pkg/dispatch/candidate.go
@@ -94,18 +94,27 @@
 	return max(own, share*reported+(1-share)*own)
 }
 
-// freeOfLimit estimates how many requests the upstream's limit allows at once, negative if
-// requests wait for it. It is only defined for a reported limit.
-func (c *Candidate) freeOfLimit() float64 { return c.Report.Limit.Free - float64(c.StartedSince) }
+// belowLimit estimates how many requests the upstream's limit allows at once, negative if
+// requests wait for it. The report must hold a limit.
+func (c *Candidate) belowLimit() float64 { return c.Report.Limit.Free - float64(c.StartedSince) }
+
+// missingForLimit estimates how many requests the upstream's limit must still allow before a
+// new one can start.
+func (c *Candidate) missingForLimit() float64 {
+	if c.ReportAge < 0 || c.Report.Limit == nil {
+		return 0
+	}
+	return max(0, 1-c.belowLimit()) * decay(c.ReportAge, reportHalfLife)
+}
 
 // limitWait estimates how long a request would wait for the upstream's limit of requests a
 // second.
 func (c *Candidate) limitWait() time.Duration {
-	if c.ReportAge < 0 || c.Report.Limit == nil {
+	missing := c.missingForLimit()
+	if missing == 0 {
 		return 0
 	}
-	missing := max(0, 1-c.freeOfLimit())
-	return millis(1000 * missing / c.Report.Limit.PerS * decay(c.ReportAge, reportHalfLife))
+	return millis(1000 * missing / c.Report.Limit.PerS)
 }
 
 // limitLoad estimates which share of its limit of requests a second the upstream gets.
@@ -113,14 +122,18 @@
 	if c.ReportAge < 0 || c.Report.Limit == nil {
 		return 0
 	}
-	free := c.freeOfLimit() / max(1, c.Report.Limit.PerS)
+	free := c.belowLimit() / max(1, c.Report.Limit.PerS)
 	return min(max(0, 1-free), 1) * decay(c.ReportAge, reportHalfLife)
 }
 
+// maxMissingForLimit is the value of missingForLimit up to which the limit probably allows a
+// request by the time that it arrives.
+const maxMissingForLimit = 0.5
+
 // Full reports whether a request would probably have to wait at the upstream, for a slot or
 // for its limit of requests a second.
 func (c *Candidate) Full() bool {
-	return c.occupied()+1 > float64(max(1, c.Slots)) || c.limitWait() > 0
+	return c.occupied()+1 > float64(max(1, c.Slots)) || c.missingForLimit() > maxMissingForLimit
 }
 
 // failing estimates the share of requests that fail at the upstream.
--- a/pkg/dispatch/place_test.go
+++ b/pkg/dispatch/place_test.go
@@ -38,6 +38,10 @@
 	abroad.Region = "other"
 	stale := candidate("stale", "a", 9, 100)
 	stale.ReportAge = 10 * time.Second
+	limited := candidate("limited", "a", 0, 100)
+	limited.Report.Limit = &link.Limit{PerS: 5, Free: -1}
+	outdated := limited
+	outdated.Node, outdated.ReportAge = "outdated", 20*time.Second
 	for name, tt := range map[string]struct {
 		candidates []Candidate
 		origin     Origin
@@ -52,6 +56,8 @@
 		"not one that mostly fails":                   {[]Candidate{failing, candidate("busy", "a", 9, 100)}, largeRequest(), "busy"},
 		"one that mostly fails if it is the only one": {[]Candidate{failing}, largeRequest(), "grey"},
 		"not an unreachable one":                      {[]Candidate{unreachable, failing}, largeRequest(), "grey"},
+		"not one with requests waiting for its limit": {[]Candidate{limited, candidate("far", "b", 6, 160)}, largeRequest(), "far"},
+		"one whose report of its limit is old":        {[]Candidate{outdated, candidate("busy", "a", 5, 160)}, largeRequest(), "outdated"},
 		"a cold one after a warm one":                 {[]Candidate{cold, candidate("warm", "a", 1, 100)}, largeRequest(), "warm"},
 		"one whose report of full load is old":        {[]Candidate{stale, candidate("busy", "a", 8, 160), candidate("far", "b", 2, 160)}, largeRequest(), "stale"},
 	} {
