Bind a limit that a calling node knows to the upstream process

Cause: a call carried the limit without the start time of the upstream that named it. Where an upstream and its node start again together, the node could take over the limit of the former process, and hold requests of the new one back for up to 4 s until its first answer. A limit that is no number would have reached the limiter. Change: the limit is sent with the start time and compared; NaN is ignored. Requests are counted where they begin, without another lock. Evidence: TestUpstreamGetsMoreThanItsLimit passes, with the node beside the upstream started again.

--- a/pkg/dispatch/notice.go
+++ b/pkg/dispatch/notice.go
@@ -40,13 +40,12 @@
 
 // knownLimit returns the limit that the upstream of a host named in its newest answer to this
 // node, nil if it named none.
-func (s *Service) knownLimit(host *fleet.Host) *float64 {
+func (s *Service) knownLimit(host *fleet.Host) *link.KnownLimit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.endpoints[host.Node]
 	if e == nil || !e.knows(host) || !e.notice.Limited {
 		return nil
 	}
-	perS := e.notice.LimitPerS
-	return &perS
+	return &link.KnownLimit{PerS: e.notice.LimitPerS, Born: e.noticeOf.Born}
 }
--- a/pkg/intake/notice.go
+++ b/pkg/intake/notice.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -81,16 +82,17 @@
 // adoptLimit takes over the limit that the calling node knows, until the first answer since
 // the start of this node shows what the upstream says itself.
 func (s *Service) adoptLimit(now time.Time, c *link.Call) {
-	if c.KnownLimit == nil {
+	known := c.KnownLimit
+	if known == nil || math.IsNaN(known.PerS) {
 		return
 	}
 	s.mu.Lock()
-	if c.UpstreamID != s.upstream.ID || s.notice.Limited || !s.notice.answeredAt.IsZero() {
+	if c.UpstreamID != s.upstream.ID || known.Born != s.upstream.Born || s.notice.Limited || !s.notice.answeredAt.IsZero() {
 		s.mu.Unlock()
 		return
 	}
 	u := s.upstream
-	change, _ := s.notice.update(now, time.Time{}, fleet.Notice{Limited: true, LimitPerS: *c.KnownLimit}, nil)
+	change, _ := s.notice.update(now, time.Time{}, fleet.Notice{Limited: true, LimitPerS: known.PerS}, nil)
 	change.FromPeer = true
 	s.applyLimit(now)
 	s.mu.Unlock()
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -236,7 +236,7 @@
 	}
 	if v.Run {
 		defer s.mu.Unlock()
-		s.running[id] = c.Fingerprint
+		s.begin(id, c)
 		return id, s.upstream, nil
 	}
 	if !v.Wait {
@@ -279,10 +279,16 @@
 		s.deliver(s.queue.Next(time.Now(), nil))
 		return id, fleet.Upstream{}, r
 	}
-	s.running[id] = c.Fingerprint
+	s.begin(id, c)
 	return id, s.upstream, nil
 }
 
+// begin counts a request that is sent to the upstream. The caller holds mu.
+func (s *Service) begin(id uint64, c *link.Call) {
+	s.running[id] = c.Fingerprint
+	s.notice.requests++
+}
+
 // deliver sends the grants to the requests that wait for them. The caller holds mu.
 func (s *Service) deliver(grants []Grant) {
 	for _, g := range grants {
@@ -341,9 +347,6 @@
 	header.Set(h.Deadline, formatMillis(deadline.Sub(start)))
 	header.Set(h.Expected, u.ID)
 	q := &h1.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: header, Body: c.Body, LargeAnswer: c.LargeAnswer}
-	s.mu.Lock()
-	s.notice.requests++
-	s.mu.Unlock()
 	response, failure := s.options.Pool.Exchange(ctx, q, h.RequestID, !c.Idempotent)
 	if failure == nil {
 		s.recordNotice(u, response)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -90,13 +90,20 @@
 	Fingerprint uint64 `cbor:"16,keyasint"`
 	// LargeAnswer is set when the answer may take up the network link for a while.
 	LargeAnswer bool `cbor:"17,keyasint,omitempty"`
-	// KnownLimit is the limit, in requests a second, that the upstream named in its newest
-	// answer to the calling node.
-	KnownLimit *float64 `cbor:"18,keyasint,omitempty"`
+	// KnownLimit is the limit that the upstream named in its newest answer to the calling
+	// node, nil without one.
+	KnownLimit *KnownLimit `cbor:"18,keyasint,omitempty"`
 	// Local is set when the upstream runs on the calling node's own host.
 	Local bool `cbor:"-"`
 }
 
+// KnownLimit is a limit of requests a second and the start time of the upstream process that
+// named it.
+type KnownLimit struct {
+	PerS float64 `cbor:"1,keyasint"`
+	Born int64   `cbor:"2,keyasint"`
+}
+
 // Outcome says whether a call ran.
 type Outcome string
 
