Refuse at once what a new limit delays too long

What callers saw: requests that waited for a slot when the upstream named its limit kept waiting, and were refused near their deadline. Cause: whether a request may wait was decided on its arrival only, and a limit takes most of the capacity away after that. Change: when a limit changes, each waiting request is decided on again, in its order; those that would be late are refused with a Retry-After. Evidence: TestRequestsWaitOutTheirDeadlineBehindANewLimit; without the new step all of the waiting requests stay in the queue.

--- a/pkg/intake/admission.go
+++ b/pkg/intake/admission.go
@@ -57,6 +57,14 @@
 	return min(max(wait/2, minRetryAfter), maxRetryAfter)
 }
 
+// refusedRetryDelay returns the time after which a caller should retry that may not wait.
+func (q *Queue) refusedRetryDelay(now time.Time, w *waiting, wait time.Duration) time.Duration {
+	if w.late {
+		return q.lateRetryDelay(now, w)
+	}
+	return min(q.retryDelay(wait), q.maxTimelyRetryDelay(now, w))
+}
+
 // lateRetryShare is the share of the remaining time after which a refused late caller retries.
 // With 0.3 the caller can retry a few times, the first one within a third of its remaining
 // time.
--- a/pkg/intake/limit.go
+++ b/pkg/intake/limit.go
@@ -35,6 +35,22 @@
 // RemoveLimit ends the effect of SetLimit.
 func (q *Queue) RemoveLimit() { q.limiter = nil }
 
+// RefuseDelayed appends to grants a refusal of each waiting request that the limit delays too
+// long. It is called when a limit changes; later arrivals take it into account.
+func (q *Queue) RefuseDelayed(now time.Time, grants []Grant) []Grant {
+	all := q.waiting
+	q.waiting = nil
+	for i := range all {
+		w := &all[i]
+		if wait := q.limitWait(now, w); wait > 0 && !q.mayWait(now, w, wait) {
+			grants = append(grants, Grant{ID: w.ID, Reason: RateLimited, RetryAfter: q.refusedRetryDelay(now, w, wait)})
+			continue
+		}
+		q.waiting = append(q.waiting, *w)
+	}
+	return grants
+}
+
 // Limit returns the limit in force, or nil.
 func (q *Queue) Limit(now time.Time) *link.Limit {
 	if q.limiter == nil {
--- a/pkg/intake/notice.go
+++ b/pkg/intake/notice.go
@@ -103,6 +103,7 @@
 func (s *Service) applyLimit(now time.Time) {
 	if s.notice.Limited {
 		s.queue.SetLimit(now, s.notice.LimitPerS)
+		s.deliver(s.queue.RefuseDelayed(now, nil))
 	} else {
 		s.queue.RemoveLimit()
 	}
--- a/pkg/intake/queue.go
+++ b/pkg/intake/queue.go
@@ -248,12 +248,11 @@
 		return Decision{Reason: NoSlot, RetryAfter: q.retryDelay(wait)}
 	}
 	if !q.mayWait(now, &w, wait) {
-		v := Decision{Reason: TooLate, RetryAfter: min(q.retryDelay(wait), q.maxTimelyRetryDelay(now, &w))}
+		v := Decision{Reason: TooLate, RetryAfter: q.refusedRetryDelay(now, &w, wait)}
 		if limitWait > slotWait {
 			v.Reason = RateLimited
 		}
 		if w.late {
-			v.RetryAfter = q.lateRetryDelay(now, &w)
 			v.HalvedMean = q.halveStaleMean(now, r.Route)
 		}
 		return v
--- a/pkg/intake/queue_test.go
+++ b/pkg/intake/queue_test.go
@@ -261,3 +261,20 @@
 	is.True(float64(browse.Expired) < 0.02*float64(browse.Asked))
 	is.Equal(order.SlowestRefusal, time.Duration(0))
 }
+
+// When an upstream names a limit, the waiting requests that it delays too long are refused at
+// once, and not at their deadline.
+func TestRequestsWaitOutTheirDeadlineBehindANewLimit(t *testing.T) {
+	is := is.New(t)
+	q := intake.NewQueue(9)
+	now := time.Unix(0, 0)
+	for id := range uint64(20) {
+		q.Arrive(now, intake.Request{ID: id, Route: "browse", MayWait: true, SoftDeadline: now.Add(500 * ms), Deadline: now.Add(time.Second)})
+	}
+	waiting := q.Queued()
+	q.SetLimit(now, 5)
+	refused := q.RefuseDelayed(now, nil)
+	is.Equal(len(refused), waiting-1) // one in 200 ms is in time, the next one is not
+	is.Equal(refused[0].Reason, intake.RateLimited)
+	is.True(refused[0].RetryAfter > 0)
+}
