Refuse waiting requests at once when a node stops

What callers saw: requests that waited behind a limit at a node that stopped were refused one by one as the limit allowed them, up to their deadline. Cause: a stopping node kept its waiting requests until each got a slot, to refuse them then. With slots that takes milliseconds, with a limit seconds. Change: the stop refuses all that wait; they have not run and are placed elsewhere.

--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -116,12 +116,12 @@
 	}
 }
 
-// Stop makes the service refuse new requests. Running ones go on; waiting ones are refused when
-// they get a slot.
+// Stop makes the service refuse new and waiting requests. Running ones go on.
 func (s *Service) Stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
+	s.deliver(s.queue.Flush(ReasonStopping, nil))
 }
 
 // Running returns the number of requests that run at the upstream or wait for it.
--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -170,3 +170,23 @@
 	perS, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return fleet.Notice{Limited: true, LimitPerS: perS}, err
 }
+
+// A stopping node refuses the requests that wait at once, and does not keep them until the
+// limit of the upstream allows each of them.
+func TestStoppingNodeKeepsRequestsBehindALimit(t *testing.T) {
+	is := is.New(t)
+	s := newService("127.0.0.1:1", &crashes{})
+	s.SetUpstream(fleet.Upstream{ID: "u1", Service: "desk", Born: 1, Slots: 4, State: fleet.StateReady})
+	c := newCall(1)
+	c.KnownLimit = &link.KnownLimit{PerS: 1, Born: 1}
+	c.LatencyTargetMs, c.RemainingMs = 5000, 10_000
+	answers := make(chan *link.Answer, 1)
+	go func() { answers <- s.Handle(context.Background(), c) }()
+	for s.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	start := time.Now()
+	s.Stop()
+	is.Equal((<-answers).Reason, intake.ReasonStopping)
+	is.True(time.Since(start) < 500*time.Millisecond)
+}
