Replay loads behind a limit

Change: two loads, browsing at twice a limit of 10 requests a second, and orders beside browsing at 2.4 times it. The plain queue of the comparison keeps the limit too. The soak's check of notices is split, and the tests of intake decode notices as the node does.

--- a/pkg/bench/replay/replay.go
+++ b/pkg/bench/replay/replay.go
@@ -58,6 +58,8 @@
 	// Outage is a time in which no request arrives. Those requests arrive within arrivalSpread
 	// after its end.
 	Outage Span
+	// LimitPerS is the limit of requests a second that the upstream names, 0 without one.
+	LimitPerS float64
 }
 
 // Span is a part of a load's time.
--- a/pkg/bench/replay/scenario.go
+++ b/pkg/bench/replay/scenario.go
@@ -84,6 +84,11 @@
 	download := Kind{Route: "download", Priority: 2, Rate: 8, Work: 180 * ms, SoftDeadline: 800 * ms, Deadline: 6 * time.Second, Bytes: 90_000, Retries: true}
 	fullLink := load(0, download)
 	fullLink.LinkMbps = 8.4
+	limited := load(0, order, browse(20))
+	limited.Kinds[0].Rate = 4
+	limited.LimitPerS = 10
+	limitedBrowsing := load(0, browse(20))
+	limitedBrowsing.LimitPerS = 10
 	fullLink.Phases = []Phase{{From: 3 * time.Second, To: 6 * time.Second, Rate: 2.5, Work: 1}}
 	return []queueCase{
 		{"burst", "twice the usual rate for 3 s: urgent short calls answered in time beside long lookups", burst, 0, false, 0.9},
@@ -94,6 +99,8 @@
 		{"slow-start", "short calls beside twice the lookups that can run, 12 times slower in the first half second: calls answered in time", load(0, slowCheck, batch), 0, false, 0.7},
 		{"short-calls", "short calls beside twice the lookups that can run, equally urgent: calls answered in time", load(0, equalCheck, batch), 0, false, 0.7},
 		{"full-link", "downloads over a link of 8.4 Mbit/s, 2.5 times the usual rate for 3 s: downloads completed in time", fullLink, 0, false, 0.7},
+		{"limit", "twice the requests a second that an upstream names as its limit: requests answered in time, relative to the limit", limitedBrowsing, 0, true, 0.85},
+		{"limit-urgent", "orders beside browsing, together 2.4 times the limit that the upstream names: orders answered in time", limited, 0, false, 0.85},
 		{"lost-answers", "8 % of the answers are lost: requests answered in time", load(0.08, browse(45)), 0, false, 0.82},
 	}
 }
@@ -157,8 +164,12 @@
 
 // play simulates the load with the queue of package intake and with the baseline.
 func (c *queueCase) play() Row {
-	ours := Simulate(c.load, intake.NewQueue(c.load.Slots))[c.measured]
-	plain := Simulate(c.load, newPlainQueue(c.load.Slots))[c.measured]
+	queue := intake.NewQueue(c.load.Slots)
+	if c.load.LimitPerS > 0 {
+		queue.SetLimit(time.Unix(0, 0), c.load.LimitPerS)
+	}
+	ours := Simulate(c.load, queue)[c.measured]
+	plain := Simulate(c.load, newPlainQueue(c.load.Slots, c.load.LimitPerS))[c.measured]
 	r := Row{
 		Name: c.name, Description: c.description, Bound: c.least,
 		Figure: c.share(&ours), Plain: c.share(&plain),
@@ -172,7 +183,10 @@
 // share returns the figure of a result.
 func (c *queueCase) share(r *Result) float64 {
 	of := float64(r.Asked)
-	if c.ofCapacity {
+	switch {
+	case c.ofCapacity && c.load.LimitPerS > 0:
+		of = c.load.LimitPerS * c.load.Length.Seconds()
+	case c.ofCapacity:
 		of = float64(c.load.Slots) * c.load.Length.Seconds() / c.load.Kinds[c.measured].Work.Seconds()
 	}
 	return float64(r.InAim) / max(1, of)
--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
 	"github.com/tarragondrum/tarragondrum/pkg/intake"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/platform"
 )
 
 // crashes counts the crashes, suspects and recoveries that a service reports.
@@ -43,7 +43,7 @@
 			defer seen.mu.Unlock()
 			seen.revivals++
 		},
-		DecodeNotice: decodeNotice,
+		DecodeNotice: platform.DecodeNotice,
 		OnNotice:     func(fleet.Upstream, intake.NoticeChange) {},
 		OnMeanHalved: func(string, time.Duration) {},
 		OnOutcome:    func(*link.Call, *link.Answer, intake.Timing) {},
@@ -162,15 +162,6 @@
 	is.True(s.Load().FailureRate < 0.5)
 }
 
-// decodeNotice reads a limit from the header "Limit".
-func decodeNotice(h http.Header) (fleet.Notice, error) {
-	if h.Get("Limit") == "" {
-		return fleet.Notice{}, nil
-	}
-	perS, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return fleet.Notice{Limited: true, LimitPerS: perS}, err
-}
-
 // A stopping node refuses the requests that wait at once, and does not keep them until the
 // limit of the upstream allows each of them.
 func TestStoppingNodeKeepsRequestsBehindALimit(t *testing.T) {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -133,10 +133,28 @@
 	toldTime = 500 * time.Millisecond
 )
 
-// told identifies a process that passed on a notice of an upstream.
+// told identifies a process that passed on a notice of an upstream: a limit or its leaving.
 type told struct {
-	host, upstream string
-	startCount     int
+	host       string
+	startCount int
+	upstream   string
+	leaving    bool
+}
+
+// firstTold returns when each process first passed on each notice.
+func firstTold(all []sent) map[told]time.Time {
+	first := make(map[told]time.Time)
+	for _, s := range all {
+		for _, leaving := range []bool{false, true} {
+			by := told{s.host, s.startCount, s.upstream, leaving}
+			at, known := first[by]
+			named := leaving && s.leaving != "" || !leaving && s.limit != ""
+			if named && (!known || s.answered.Before(at)) {
+				first[by] = s.answered
+			}
+		}
+	}
+	return first
 }
 
 // checkNotices returns a message for each upstream that got more than its limit from
@@ -144,30 +162,22 @@
 // later than drainTime after it had passed on that the upstream leaves.
 func checkNotices(all []sent, seen []receivedRequest) []string {
 	byID := make(map[string]sent)
-	limited, leaving := make(map[told]time.Time), make(map[told]time.Time)
 	for _, s := range all {
 		byID[s.id] = s
-		by := told{s.host, s.upstream, s.startCount}
-		if at, known := limited[by]; s.limit != "" && (!known || s.answered.Before(at)) {
-			limited[by] = s.answered
-		}
-		if at, known := leaving[by]; s.leaving != "" && (!known || s.answered.Before(at)) {
-			leaving[by] = s.answered
-		}
 	}
+	since := firstTold(all)
 	var violations []string
 	var first receivedRequest // the first request of those that the upstream answered with one limit
 	var recent []time.Time
 	for _, g := range seen {
 		s := byID[g.ID]
-		by := told{s.host, g.upstream, s.startCount}
-		if at, known := leaving[by]; known && s.at.After(at.Add(drainTime)) {
+		if at, known := since[told{s.host, s.startCount, g.upstream, true}]; known && s.at.After(at.Add(drainTime)) {
 			violations = append(violations, fmt.Sprintf("upstream %s got %s %s after %s passed on that it leaves", g.upstream, g.ID, s.at.Sub(at), s.host))
 		}
 		if g.upstream != first.upstream || g.Limit != first.Limit {
 			first, recent = g, nil
 		}
-		at, known := limited[by]
+		at, known := since[told{s.host, s.startCount, g.upstream, false}]
 		if !known || g.Limit == "" || g.At.Sub(first.At) < contactTime || g.At.Sub(at) < toldTime {
 			continue
 		}
