--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -4,10 +4,10 @@
 type Notice struct {
 	// Limited is set if the upstream accepts at most LimitPerS requests a second from all
 	// nodes together.
-	Limited   bool    `cbor:"1,keyasint,omitempty"`
-	LimitPerS float64 `cbor:"2,keyasint,omitempty"`
+	Limited   bool
+	LimitPerS float64
 	// Leaving is set if the upstream drains. The same process never accepts requests again.
-	Leaving bool `cbor:"3,keyasint,omitempty"`
+	Leaving bool
 }
 
 // SameLimit reports whether two notices name the same limit, or none.
--- a/pkg/intake/limit.go
+++ b/pkg/intake/limit.go
@@ -13,8 +13,8 @@
 	// minLimitPerS is the lowest rate, in requests a second, that a limit is enforced at.
 	// Only an answer shows that a limit has ended, so requests cannot stop altogether.
 	minLimitPerS = 0.25
-	// maxLimitPerS is the highest rate, in requests a second, that a limit is enforced at.
-	// Higher limits have no effect.
+	// maxLimitPerS is the highest rate, in requests a second, that a limit is enforced at. It
+	// keeps the burst within an int.
 	maxLimitPerS = 1e6
 )
 
