--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,7 +120,7 @@
 	p := m.hosts[random.IntN(len(m.hosts))]
 	span := time.Duration(200+random.IntN(1800)) * time.Millisecond
 	share := random.IntN(3)
-	switch random.IntN(16) {
+	switch random.IntN(17) {
 	case 0:
 		return func() { m.signal(p, syscall.SIGSTOP); time.Sleep(span); m.signal(p, syscall.SIGCONT) }
 	case 1:
@@ -162,7 +162,7 @@
 		return p.link.reset
 	case 11:
 		return func() { p.link.mute(share != 0, share != 1, span) }
-	case 13:
+	case 16:
 		return func() { m.limit(p, 4500*time.Millisecond+2*span) }
 	case 12:
 		by := time.Duration(20+random.IntN(200)) * time.Millisecond
