--- a/review/kit/case_stop.go
+++ b/review/kit/case_stop.go
@@ -95,6 +95,9 @@
 func (m *mesh) judgeStop(all []*request) bool {
 	lost, excused, served := 0, 0, 0
 	for _, q := range all {
+		if !q.done.Load() {
+			continue // sent after the newest restart
+		}
 		if q.status != 0 {
 			if q.status == 200 {
 				served++
--- a/review/kit/mesh.go
+++ b/review/kit/mesh.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -492,10 +493,12 @@
 	reason        string
 	gaveUp        bool
 	err           error
+	done          atomic.Bool // the fields above are final
 }
 
 // do sends one request on a connection of its own and waits until its deadline.
 func (q *request) do() {
+	defer q.done.Store(true)
 	begin := time.Now()
 	limit := begin.Add(q.deadline)
 	q.endAt = begin
