--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -63,6 +63,8 @@
 	i.log("started", "", "", "")
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
 	beat := time.NewTicker(1500 * time.Millisecond)
 	for {
 		acked := i.beat()
@@ -76,12 +78,33 @@
 		}
 		select {
 		case <-beat.C:
+		case <-leave:
+			return i.leave()
 		case <-stop:
 			return 0
 		}
 	}
 }
 
+// staysFor is how long the instance serves on after drainMs: "a little longer (at times many
+// seconds)".
+const staysFor = 10 * time.Second
+
+// leave is the end of an instance that never reports draining: it sends DELETE first, serves on
+// for drainMs and staysFor after the acknowledgement, and exits.
+func (i *instance) leave() int {
+	for n := 0; !i.call(http.MethodDelete, fmt.Appendf(nil, `{"born":%d}`, i.born)); n++ {
+		if n == 10 {
+			return 0 // without an acknowledgement it exits anyway, some seconds later
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	i.log("acknowledged", "", "", "")
+	time.Sleep(2*time.Second + staysFor)
+	i.log("exited", "", "", "")
+	return 0
+}
+
 func (i *instance) log(event, id, path, caller string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -97,7 +120,12 @@
 		"status": map[string]any{"state": i.state, "sequence": i.sequence, "coldRemainingMs": 0},
 	})
 	i.mu.Unlock()
-	r, err := http.NewRequest(http.MethodPut, "http://"+i.control+"/instances/"+i.id, bytes.NewReader(body))
+	return i.call(http.MethodPut, body)
+}
+
+// call makes one call about the instance to its node and reports whether it was acknowledged.
+func (i *instance) call(method string, body []byte) bool {
+	r, err := http.NewRequest(method, "http://"+i.control+"/instances/"+i.id, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/review/kit/mesh.go
+++ b/review/kit/mesh.go
@@ -54,6 +54,7 @@
 // mesh is a small deployment as separate processes on loopback.
 type mesh struct {
 	dir, binary, self, store string
+	faults                   string // where the store takes its faults
 	storeCmd                 *exec.Cmd
 	machines                 []*machine
 	record                   *recorder
@@ -85,8 +86,16 @@
 	fmt.Printf("%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// recorded says that record.txt has been begun; a second mesh of the same case goes on in it.
+var recorded bool
+
 func newRecorder(path string) (*recorder, error) {
-	f, err := os.Create(path)
+	mode := os.O_CREATE | os.O_WRONLY | os.O_TRUNC
+	if recorded {
+		mode = os.O_WRONLY | os.O_APPEND
+	}
+	recorded = true
+	f, err := os.OpenFile(path, mode, 0o644)
 	if err != nil {
 		return nil, err
 	}
@@ -140,6 +149,10 @@
 		return nil, err
 	}
 	m.store = fmt.Sprintf("%s:%d", ip, port)
+	if port, err = freePort(ip, map[int]bool{port: true}); err != nil {
+		return nil, err
+	}
+	m.faults = fmt.Sprintf("%s:%d", ip, port)
 	for i, l := range layout {
 		x := &machine{mesh: m, name: fmt.Sprintf("m%d-%s", i+1, l[0]), zone: l[0], service: l[1], ip: fmt.Sprintf("%s.%d", m.octet, 10+i), in: true}
 		used := map[int]bool{}
@@ -181,12 +194,37 @@
 }
 
 func (m *mesh) startStore() error {
-	m.storeCmd = exec.Command(m.binary, "platform", "--listen", m.store, "--faults", "")
+	m.storeCmd = exec.Command(m.binary, "platform", "--listen", m.store, "--faults", m.faults)
 	m.storeCmd.Stdout = m.logFile("store.log")
 	m.storeCmd.Stderr = m.storeCmd.Stdout
 	return m.storeCmd.Start()
 }
 
+// setStore makes the store answer every call with a status, or as usual with 0.
+func (m *mesh) setStore(status int) error {
+	a, err := http.Post("http://"+m.faults+"/faults", "application/json", strings.NewReader(fmt.Sprintf(`{"status":%d}`, status)))
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("the store's faults answered %d", a.StatusCode)
+	}
+	m.record.say("the store answers with status %d from now on (0: as usual)", status)
+	return nil
+}
+
+// killNode sends SIGKILL and waits for the end.
+func (x *machine) killNode() {
+	x.mu.Lock()
+	c, done := x.node, x.nodeDone
+	x.mu.Unlock()
+	_ = c.Process.Kill()
+	<-done
+	x.mesh.record.say("SIGKILL to the node of %s", x.name)
+}
+
 // startNode starts the node with the command of the deploy file.
 func (x *machine) startNode() error {
 	x.mu.Lock()
