--- a/review/kit/case_stop.go
+++ b/review/kit/case_stop.go
@@ -7,8 +7,6 @@
 	"time"
 )
 
-func init() { cases["stop"] = caseStop }
-
 // caseStop restarts the two nodes of one zone as planned while clients of that zone send
 // requests at a steady rate, and looks for requests that were cut.
 func caseStop(r *caseRun) (bool, error) {
--- a/review/kit/case_stopend.go
+++ b/review/kit/case_stopend.go
@@ -8,9 +8,26 @@
 	"time"
 )
 
-func init() { cases["stopend"] = caseStopEnd }
+func init() { cases["stops"] = caseStops }
 
-// caseStopEnd restarts the three nodes of one zone as planned, ten times, while clients of that
+// caseStops plays both planned stops, one mesh after the other.
+func caseStops(r *caseRun) (bool, error) {
+	early, err := caseStopEnd(r)
+	if err != nil {
+		return false, err
+	}
+	r.mesh.record.say("requests at random times: LOST broken: %v", early)
+	r.mesh.close()
+	r.mesh = nil
+	late, err := caseStop(r)
+	if err != nil {
+		return false, err
+	}
+	r.mesh.record.say("requests at most 30 ms apart: LOST broken: %v", late)
+	return early || late, nil
+}
+
+// caseStopEnd restarts the three nodes of one zone as planned, eight times, while clients of that
 // zone send short requests at random times, and looks for requests that were cut.
 func caseStopEnd(r *caseRun) (bool, error) {
 	m, err := newMesh(r.repo, r.dir, 1000, [][2]string{{"a", "order-desk"}, {"a", "order-desk"}, {"a", "order-desk"}, {"b", "order-desk"}, {"b", "order-desk"}, {"b", "order-desk"}})
@@ -74,7 +91,7 @@
 		mu.Unlock()
 		broken = m.judgeStop(now) || broken
 	}
-	for range 10 {
+	for range 8 {
 		time.Sleep(time.Second)
 		if r.trouble {
 			var restarts sync.WaitGroup
