Log the requests that the end of a process cuts

Cause: a stop logs the requests that are open when it is over (102), but not those that its closing of the connections cuts. A cut of a request that ran too long and of one that came after the stop had counted none look the same.

Change: 125 requests-cut names their number and the age of the newest one when the connections are closed.

Result: no change of behaviour; go test ./pkg/event ./pkg/host passes.

--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -120,7 +120,7 @@
 		n.loopService(settingsName, n.watchSettings, storeName),
 		n.loopService(logName+".dropped", n.reportDropped, logName),
 		&funcService{name: requestsName, needs: []string{leadName}, open: func() error { return n.outbound.Listen(s.Listen.Outbound) }, close: func(context.Context) error {
-			return n.outbound.Close()
+			return n.closeRequests()
 		}},
 		listenerService(readyName, func() (*httpserver.Server, error) { return platform.ServeReady(s.Listen.Ready, n.record) }, requestsName),
 		listenerService(announceName, func() (*httpserver.Server, error) {
@@ -130,6 +130,14 @@
 	}
 }
 
+// closeRequests closes the connections of callers and logs how many requests that cuts.
+func (n *Node) closeRequests() error {
+	if cut := n.outbound.Pending(); cut > 0 {
+		n.log.Emit(event.RequestsCut, event.F("requests", cut), event.F("newestAgeMs", time.Since(n.outbound.LastRead()).Milliseconds()))
+	}
+	return n.outbound.Close()
+}
+
 // Start opens the listeners and starts the background loops.
 func (n *Node) Start() error {
 	s := n.settings.Load()
