Let a planned stop end only when no request can come any more

Cause, two ways. A stop looked once whether a request was open and then ended the process, while its listener was still open: requests that were read in the meantime were cut. And each new connection prolonged the listener by 30 ms without a bound, so that under steady load the process took requests until the end of the grace period and cut all that ran. A short grace period was used up by the minimum drain time in the same way.

Change: Server.IsRetired says that the listener is closed and that no open connection can bring a request; the stop waits for it. The listener waits for further connections for 150 ms at most and then closes as soon as its accept queue is empty. From then on a request whose deadline lies beyond the end of the process is refused as not run (node-stopping). The minimum drain time leaves time for the requests that are still open.

--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/h1"
+	"github.com/tarragondrum/tarragondrum/pkg/intake"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
 )
@@ -131,6 +133,8 @@
 // Service handles the requests that enter the mesh at this host.
 type Service struct {
 	options Options
+	// endAt is when the process ends, nil before EndAt.
+	endAt atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -208,11 +212,25 @@
 		return s.finish(ctx, r, errorResponse(http.StatusBadRequest, ReasonNoID, 0))
 	}
 	s.prepare(r)
+	if s.endsBefore(r.deadline) {
+		return s.finish(ctx, r, s.failureResponse(r, intake.ReasonStopping))
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(answerSlack))
 	defer cancel()
 	return s.finish(ctx, r, s.forward(ctx, r))
 }
 
+// EndAt makes the service refuse further requests that may be unanswered at a time, at which
+// the process ends.
+func (s *Service) EndAt(t time.Time) { s.endAt.Store(&t) }
+
+// endsBefore reports whether the process may end before a request with the given deadline is
+// answered.
+func (s *Service) endsBefore(deadline time.Time) bool {
+	end := s.endAt.Load()
+	return end != nil && deadline.Add(answerSlack).After(*end)
+}
+
 // prepare sets the deadline and target time of a request, chooses its service and builds the
 // call that is sent to upstreams.
 func (s *Service) prepare(r *request) {
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
@@ -60,12 +61,17 @@
 	Uplink *pace.Uplink
 
 	listener net.Listener
-	mu       sync.Mutex
-	conns    map[*serverConn]struct{}
-	draining bool
-	retiring bool
-	lastRead time.Time
+	draining atomic.Bool
+	retiring atomic.Bool
 	done     sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+	// acceptUntil is when a retiring server stops accepting connections even if more arrive.
+	acceptUntil time.Time
+	// notAccepting is set once no connection will be accepted any more.
+	notAccepting bool
+	lastRead     time.Time
 }
 
 // Listen listens on an address and serves its connections in the background until Close.
@@ -86,23 +92,22 @@
 
 func (s *Server) accept() {
 	defer s.done.Done()
+	defer s.stopAccepting()
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			if s.isRetiring() {
-				_ = s.listener.Close() // no new connection within retireGrace
-				return
+			if s.retiring.Load() && isTimeout(err) {
+				return // the accept queue is empty
 			}
 			// A temporary error, such as too many open files. The next accept may succeed.
 			time.Sleep(acceptPause)
 			continue
 		}
-		if s.isRetiring() {
-			// The accept queue may hold more connections.
-			s.acceptUntil(time.Now().Add(retireGrace))
+		if s.retiring.Load() {
+			s.awaitNextAccept() // the accept queue may hold more connections
 		}
 		sc := newServerConn(s, c)
 		s.mu.Lock()
@@ -124,38 +129,49 @@
 // acceptPause is the delay after a failed accept, which prevents a busy loop.
 const acceptPause = 10 * time.Millisecond
 
-// retireGrace is how long the listener of a retiring server waits for the next connection
-// before it closes. Closing it earlier would reset connections that callers have opened and
-// that are not accepted yet.
-const retireGrace = 30 * time.Millisecond
+const (
+	// retireGrace is how long the listener of a retiring server waits for the next connection
+	// before it closes. Closing it earlier would reset connections that callers have opened and
+	// that are not accepted yet.
+	retireGrace = 30 * time.Millisecond
+	// retireAcceptTime bounds the time for which a retiring server waits so long. After it the
+	// listener closes as soon as the accept queue is empty, for which it waits emptyQueueWait.
+	retireAcceptTime = 150 * time.Millisecond
+	emptyQueueWait   = time.Millisecond
+	// retireReadTimeout is how long a retiring server waits for the first byte of a request on
+	// a connection that it has just accepted.
+	retireReadTimeout = 200 * time.Millisecond
+)
 
-func (s *Server) isRetiring() bool {
+// awaitNextAccept sets the deadline for accepting the next connection of a retiring server.
+func (s *Server) awaitNextAccept() {
+	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.retiring
-}
-
-// acceptUntil sets the deadline for accepting the next connection.
-func (s *Server) acceptUntil(t time.Time) {
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
-		_ = l.SetDeadline(t) // fails only if the listener is closed
+	until := s.acceptUntil
+	s.mu.Unlock()
+	now := time.Now()
+	next := now.Add(emptyQueueWait)
+	if next.Before(until) {
+		next = now.Add(min(retireGrace, until.Sub(now)))
 	}
+	_ = l.SetDeadline(next) // fails only if the listener is closed
 }
 
-// Drain makes the server answer the requests that it has read and close each connection
-// after the response to its newest request. New connections are still served, with one
-// request each.
-func (s *Server) Drain() {
+// stopAccepting closes the listener. All connections that it has accepted are in conns.
+func (s *Server) stopAccepting() {
+	_ = s.listener.Close() // fails only if it is closed already
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	s.notAccepting = true
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
+// Drain makes the server answer the requests that it has read and close each connection
+// after the response to its newest request. New connections are still served, with one
+// request each.
+func (s *Server) Drain() { s.draining.Store(true) }
 
 // noteRead records the time at which a request was read.
 func (s *Server) noteRead() {
@@ -184,15 +200,33 @@
 }
 
 // Retire closes the idle connections, and closes the listener once it has accepted the
-// connections that were already open. Requests that have arrived are still answered.
+// connections that were already open. Requests that have arrived are still answered. Drain
+// must have been called before.
 func (s *Server) Retire() {
 	s.mu.Lock()
-	s.retiring = true
+	s.acceptUntil = time.Now().Add(retireAcceptTime)
+	s.retiring.Store(true)
 	for c := range s.conns {
 		c.closeIdle()
 	}
 	s.mu.Unlock()
-	s.acceptUntil(time.Now().Add(retireGrace))
+	s.awaitNextAccept()
+}
+
+// IsRetired reports whether a retiring server has answered its last request: it accepts no
+// connections, and no request will be read from those that are open.
+func (s *Server) IsRetired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.retiring.Load() || !s.notAccepting {
+		return false
+	}
+	for c := range s.conns {
+		if !c.isFinished() {
+			return false
+		}
+	}
+	return true
 }
 
 // Close closes the listener and every connection.
--- a/pkg/h1/server_test.go
+++ b/pkg/h1/server_test.go
@@ -231,6 +231,94 @@
 	}
 }
 
+// A retiring server counts as retired only when it reads no more requests: not while a
+// connection that it has accepted may still bring one, or before that one is answered.
+func TestRetiredServerReadsNoMoreRequests(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{})
+	s := serve(t, func(ctx context.Context, q *h1.Request) *h1.Response {
+		close(handled)
+		time.Sleep(100 * time.Millisecond)
+		return echo(ctx, q)
+	})
+	s.Drain()
+	s.Retire()
+	c, r := dial(t, s.Address(), "")
+	silent, silentReader := dial(t, s.Address(), "")
+	time.Sleep(60 * time.Millisecond) // longer than the listener waits for a connection
+	is.True(!s.IsRetired())
+	_, err := io.WriteString(c, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-handled
+	is.True(!s.IsRetired())
+	_, body, closes := read(t, r)
+	is.Equal(body, "GET /late ")
+	is.True(closes)
+	waitRetired(t, s, time.Second)
+	is.NoErr(silent.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = silentReader.ReadByte()
+	is.Equal(err, io.EOF) // the connection that brought no request is closed
+}
+
+// A server retires in bounded time although callers keep connecting, and answers each
+// request that it has handled.
+func TestRetireEndsWhileCallersKeepConnecting(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	handled, answered := 0, 0
+	s := serve(t, func(ctx context.Context, q *h1.Request) *h1.Response {
+		mu.Lock()
+		handled++
+		mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		return echo(ctx, q)
+	})
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	callers.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			callers.Go(func() {
+				c, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+				if a, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && a.StatusCode == http.StatusOK {
+					mu.Lock()
+					answered++
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	s.Drain()
+	s.Retire()
+	waitRetired(t, s, time.Second)
+	is.NoErr(s.Close())
+	close(stop)
+	callers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(handled > 0)
+	is.Equal(answered, handled)
+}
+
+func waitRetired(t *testing.T, s *h1.Server, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); !s.IsRetired(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not retired after %s", limit)
+		}
+	}
+}
+
 // A panic in a handler affects only its own request.
 func TestPanicEndsOneRequest(t *testing.T) {
 	is := is.New(t)
--- a/pkg/h1/serverconn.go
+++ b/pkg/h1/serverconn.go
@@ -97,6 +97,13 @@
 	return n
 }
 
+// isFinished reports whether the last response was written and no more requests will be read.
+func (c *serverConn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing && c.unanswered == 0 && !c.reading
+}
+
 func (c *serverConn) serve() {
 	ctx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
@@ -136,7 +143,7 @@
 		}
 		p := &pending{method: q.Method, closeAfter: q.closeAfter, answer: make(chan *Response, 1), held: held}
 		c.server.noteRead()
-		draining := c.server.isDraining()
+		draining := c.server.draining.Load()
 		c.mu.Lock()
 		c.reading = false
 		c.unanswered++
@@ -190,7 +197,11 @@
 	}
 	var until time.Time
 	if c.unanswered == 0 {
-		until = time.Now().Add(c.server.Limits().IdleTimeout)
+		idle := c.server.Limits().IdleTimeout
+		if c.server.retiring.Load() {
+			idle = min(idle, retireReadTimeout)
+		}
+		until = time.Now().Add(idle)
 	}
 	_ = c.conn.SetReadDeadline(until)
 }
--- a/pkg/h1/serverwrite.go
+++ b/pkg/h1/serverwrite.go
@@ -45,7 +45,7 @@
 
 // writeAnswer writes one response and reports whether the connection can carry more.
 func (c *serverConn) writeAnswer(ctx context.Context, w *bufio.Writer, p *pending, answer *Response) bool {
-	draining := c.server.isDraining()
+	draining := c.server.draining.Load()
 	c.mu.Lock()
 	// While draining, the connection closes after the response to its newest request.
 	if draining && c.unanswered == 1 && !c.reading {
--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -35,8 +35,9 @@
 	n.record.announceStopping()
 	sleepUntil(limit, time.Now().Add(peerNoticeTime))
 	n.intake.Stop()
+	n.dispatch.EndAt(limit)
 	n.outbound.Retire()
-	for time.Now().Before(limit) && n.outbound.Pending()+n.intake.Running() > 0 {
+	for time.Now().Before(limit) && !n.isFinished() {
 		time.Sleep(stopPoll)
 	}
 	n.record.announceRemoval()
@@ -55,11 +56,14 @@
 	})
 }
 
+// isFinished reports whether every request has been answered and no more will be read.
+func (n *Node) isFinished() bool { return n.outbound.IsRetired() && n.intake.Running() == 0 }
+
 // waitQuiet waits until callers have stopped sending requests, but leaves time before limit
 // to finish the running ones.
 func (n *Node) waitQuiet(start, limit time.Time) {
-	sleepUntil(limit, start.Add(minDrainTime))
 	last := limit.Add(-n.finishTime())
+	sleepUntil(last, start.Add(minDrainTime))
 	for time.Now().Before(last) && time.Since(n.outbound.LastRead()) < quietPeriod {
 		time.Sleep(stopPoll)
 	}
--- /dev/null
+++ b/pkg/host/stop_load_test.go
@@ -0,0 +1,117 @@
+package host_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/platform"
+	"github.com/tarragondrum/tarragondrum/platform/standin"
+)
+
+// A planned stop cuts no request while callers go on connecting until the process is gone.
+// It must neither end between two requests, when none is open for a moment, nor take
+// requests for so long that they cannot end within the grace period.
+func TestStopCutsNothingWhileCallersKeepConnecting(t *testing.T) {
+	for name, tt := range map[string]struct {
+		work, interval time.Duration
+		graceS         int
+	}{
+		"short requests":     {work: 5 * time.Millisecond, interval: 4 * time.Millisecond, graceS: 6},
+		"long requests":      {work: 150 * time.Millisecond, interval: 20 * time.Millisecond, graceS: 6},
+		"short grace period": {work: 100 * time.Millisecond, interval: 20 * time.Millisecond, graceS: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 6)
+			for _, m := range c.hosts {
+				m.Upstream.SetBehaviour(standin.Behaviour{Work: tt.work})
+			}
+			// The upstreams of the other hosts serve the requests.
+			stopping := []*member{c.hosts[1], c.hosts[3], c.hosts[5]}
+			for _, m := range stopping {
+				m.GraceS = tt.graceS
+				is.NoErr(m.WriteSettings())
+				m.Node.Reload(true)
+			}
+			var mu sync.Mutex
+			var cut []string
+			var callers, stops sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for i, m := range stopping {
+				callers.Go(func() {
+					tick := time.NewTicker(tt.interval)
+					defer tick.Stop()
+					for n := 0; ctx.Err() == nil; n++ {
+						<-tick.C
+						id := fmt.Sprintf("stop-%d-%d", i, n)
+						callers.Go(func() {
+							if r := c.get(m, "/desk/x", id); r.err != nil && len(c.seen(id)) > 0 {
+								mu.Lock()
+								defer mu.Unlock()
+								cut = append(cut, fmt.Sprintf("%s: %v", id, r.err))
+							}
+						})
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			start := time.Now()
+			for _, m := range stopping {
+				stops.Go(m.Node.Stop)
+			}
+			stops.Wait()
+			took := time.Since(start)
+			cancel()
+			callers.Wait()
+			is.Equal(len(cut), 0) // requests that reached an upstream and got no answer
+			is.True(took < time.Duration(tt.graceS)*time.Second)
+			for _, m := range stopping {
+				is.True(!strings.Contains(m.log.String(), `"requests-cut"`))
+			}
+			is.Equal(c.get(c.hosts[0], "/desk/x", "after").status, http.StatusOK)
+		})
+	}
+}
+
+// A request that arrives completely only when too little is left of the grace period is
+// refused with a promise that it does not run, instead of being passed on and cut.
+func TestStopRefusesWhatCannotEnd(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	c.hosts[0].Upstream.SetBehaviour(standin.Behaviour{Work: 1100 * time.Millisecond})
+	m := c.hosts[1]
+	conn, err := net.Dial("tcp", m.OutboundAddress())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\n%s: slow-body\r\n%s: 1200\r\nContent-Length: 2\r\n\r\na",
+		platform.HeaderRequestID, platform.HeaderDeadline)
+	is.NoErr(err)
+	stopped := make(chan struct{})
+	start := time.Now()
+	go func() {
+		m.Node.Stop()
+		close(stopped)
+	}()
+	time.Sleep(time.Until(start.Add(4600 * time.Millisecond)))
+	_, err = conn.Write([]byte("b"))
+	is.NoErr(err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = answer.Body.Close() }()
+	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
+	is.True(answer.Header.Get("Retry-After") != "")
+	<-stopped
+	is.True(time.Since(start) < 5*time.Second) // the stop does not wait for anything else
+	is.Equal(c.ran("slow-body"), 0)
+	is.True(strings.Contains(m.log.String(), `"reason":"node-stopping"`))
+}
