Let a planned stop write the answers to other nodes before it ends

What callers saw: 502 from a node that was not stopped, for a request that its upstream had answered.

Change: Server.Pending counts the running calls and the frames that are not completely written, and the stop waits for them within the grace period. 102 process-stopped names those that are left as unsent.

--- a/pkg/host/stop.go
+++ b/pkg/host/stop.go
@@ -42,7 +42,7 @@
 	}
 	n.record.announceRemoval()
 	n.log.Emit(event.ProcessStopped, event.F("pending", n.outbound.Pending()), event.F("running", n.intake.Running()),
-		event.F("tookMs", time.Since(start).Milliseconds()))
+		event.F("unsent", n.peers.server.Pending()), event.F("tookMs", time.Since(start).Milliseconds()))
 	n.Kill()
 }
 
@@ -56,8 +56,11 @@
 	})
 }
 
-// isFinished reports whether every request has been answered and no more will be read.
-func (n *Node) isFinished() bool { return n.outbound.IsRetired() && n.intake.Running() == 0 }
+// isFinished reports whether every request and every call of another node has been answered,
+// the answers are written, and no more requests will be read.
+func (n *Node) isFinished() bool {
+	return n.outbound.IsRetired() && n.intake.Running() == 0 && n.peers.server.Pending() == 0
+}
 
 // waitQuiet waits until callers have stopped sending requests, but leaves time before limit
 // to finish the running ones.
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -54,6 +54,8 @@
 	Answer      *Answer      `cbor:"4,keyasint,omitempty"`
 	StateUpdate *StateUpdate `cbor:"5,keyasint,omitempty"`
 	Part        *part        `cbor:"6,keyasint,omitempty"`
+	// continues is set on the parts of a large answer before the last one.
+	continues bool
 }
 
 // part is a chunk of the body of a large answer, at its offset in the body. The first chunk
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -132,6 +132,32 @@
 	return nil
 }
 
+// Pending returns the number of calls that are running and of frames, answers among them,
+// that are not completely written to the calling nodes.
+func (s *Server) Pending() int {
+	n := 0
+	for _, c := range s.allCallers() {
+		n += c.pending()
+	}
+	return n
+}
+
+// pending is Server.Pending for one caller. Without a connection it has nothing to write.
+func (c *caller) pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, served := range c.calls {
+		if served.answer == nil {
+			n++
+		}
+	}
+	if c.session != nil && c.session.ctx.Err() == nil {
+		n += int(c.session.unwritten.Load())
+	}
+	return n
+}
+
 // Close closes the listener and all connections and cancels the running calls.
 func (s *Server) Close() error {
 	s.cancel()
@@ -234,7 +260,7 @@
 	case f.Kind == kindCall && f.Call != nil:
 		s.serveCall(node, c, f.ID, f.Call)
 	case f.Kind == kindCancel:
-		session.large.cancel(f.ID)
+		session.cancelAnswer(f.ID)
 		c.mu.Lock()
 		if served := c.calls[f.ID]; served != nil {
 			served.cancel()
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -39,7 +39,10 @@
 	queue  chan queuedFrame
 	uplink *pace.Uplink
 	// large holds the large answers that wait to be written, in the order they were added.
-	large  transfers
+	large transfers
+	// unwritten counts the queued frames and large answers that are not completely written.
+	unwritten atomic.Int64
+
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// incarnation is the peer's incarnation, set only on the side that dialled.
@@ -83,7 +86,17 @@
 		s.send(&frame{Kind: kindAnswer, ID: id, Answer: a})
 		return
 	}
-	s.large.add(&transfer{id: id, answer: a, schedule: s.uplink.Schedule(len(a.Body)), sent: sent})
+	s.unwritten.Add(1)
+	if !s.large.add(&transfer{id: id, answer: a, schedule: s.uplink.Schedule(len(a.Body)), sent: sent}) {
+		s.unwritten.Add(-1)
+	}
+}
+
+// cancelAnswer removes a large answer that is not completely written.
+func (s *session) cancelAnswer(id uint64) {
+	if s.large.cancel(id) {
+		s.unwritten.Add(-1)
+	}
 }
 
 // send queues a frame. It returns false if the connection has ended, and ends the connection
@@ -94,10 +107,12 @@
 		return false
 	default:
 	}
+	s.unwritten.Add(1)
 	select {
 	case s.queue <- queuedFrame{f, time.Now()}:
 		return true
 	default:
+		s.unwritten.Add(-1)
 		s.cancel(fmt.Errorf("link: send queue is full with %d frames", maxQueuedFrames))
 		return false
 	}
@@ -117,6 +132,9 @@
 			s.cancel(err)
 			return
 		}
+		if !f.continues {
+			s.unwritten.Add(-1)
+		}
 	}
 }
 
--- a/pkg/link/transfer.go
+++ b/pkg/link/transfer.go
@@ -35,19 +35,21 @@
 	closed bool
 }
 
-// add queues a large answer. If the connection has ended, it only cancels the schedule.
-func (l *transfers) add(t *transfer) {
+// add queues a large answer and reports whether it did. If the connection has ended, it only
+// cancels the schedule.
+func (l *transfers) add(t *transfer) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		t.schedule.Cancel()
-		return
+		return false
 	}
 	l.list = append(l.list, t)
 	select {
 	case l.added <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // first returns the answer at the head of the queue, or nil if the queue is empty.
@@ -74,23 +76,26 @@
 	}
 	t.schedule.PartSent(len(body))
 	t.offset += len(body)
-	if t.offset == len(t.answer.Body) {
+	f.continues = t.offset < len(t.answer.Body)
+	if !f.continues {
 		l.remove(t)
 		go t.sent() // in a goroutine, since sent takes the lock that is held while answers are queued
 	}
 	return f
 }
 
-// cancel removes the answer to a call that its caller has cancelled.
-func (l *transfers) cancel(id uint64) {
+// cancel removes the answer to a call that its caller has cancelled, and reports whether it
+// was queued.
+func (l *transfers) cancel(id uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range l.list {
 		if t.id == id {
 			l.remove(t)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // remove cancels an answer's schedule and removes it from the queue. The caller holds mu.
--- a/pkg/localmesh/host.go
+++ b/pkg/localmesh/host.go
@@ -32,6 +32,9 @@
 	// graceS is the time between SIGTERM and SIGKILL in seconds. It is the same as on
 	// the users' platform.
 	graceS = 6
+	// linkMbps is the speed of a host's link in Mbit/s. It is the same as on the users'
+	// platform.
+	linkMbps = 1000
 	// memoryMB is the memory limit in the settings of each node. All nodes share one
 	// process and each node sets the memory limit of the process, so the value covers the
 	// whole mesh.
@@ -48,7 +51,10 @@
 	SettingsFile string
 	// GraceS is the time in seconds between SIGTERM and SIGKILL that WriteSettings puts
 	// into the settings.
-	GraceS   int
+	GraceS int
+	// LinkMbps is the speed of the host's link in Mbit/s that WriteSettings puts into the
+	// settings. It applies from the next start of the node.
+	LinkMbps float64
 	Upstream *standin.Upstream
 	// Node is nil before the first start.
 	Node *host.Node
@@ -87,14 +93,14 @@
 	}
 	text := fmt.Sprintf(`// Settings of a node in a mesh on loopback.
 {
-  "node": {"id": %q, "dataCentre": %q, "region": "r", "ip": %q, "memoryMB": %d, "cpuShare": 0.32, "linkMbps": 1000},
+  "node": {"id": %q, "dataCentre": %q, "region": "r", "ip": %q, "memoryMB": %d, "cpuShare": 0.32, "linkMbps": %g},
   "upstream": {"address": %q, "service": %q},
   "listen": {"outbound": %q, "ready": %q, "announce": %q, "peerPort": %d, "metricsPort": %d},
   "store": {"address": %q},
   "bounds": {"graceS": %d, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64},
   "operators": %s,
 }
-`, h.Name, h.DataCentre, h.IP, memoryMB, h.address(upstreamPort), h.Service, h.OutboundAddress(), h.ReadinessAddress(), h.AnnounceAddress(), peerPort, metricsPort,
+`, h.Name, h.DataCentre, h.IP, memoryMB, h.LinkMbps, h.address(upstreamPort), h.Service, h.OutboundAddress(), h.ReadinessAddress(), h.AnnounceAddress(), peerPort, metricsPort,
 		h.StoreAddress, h.GraceS, operators)
 	h.SettingsFile = filepath.Join(h.dir, h.Name+".jsonc")
 	if err := os.WriteFile(h.SettingsFile, []byte(text), 0o600); err != nil {
--- a/pkg/localmesh/localmesh.go
+++ b/pkg/localmesh/localmesh.go
@@ -87,7 +87,7 @@
 	h := &Host{
 		Name: fmt.Sprintf("host-%d", i), DataCentre: dc, Service: s.Name, slots: s.Slots,
 		IP:  fmt.Sprintf("127.%d.%d.%d", m.options.AddressBlock, 1+i/hostsPerSubnet, 1+i%hostsPerSubnet),
-		dir: m.options.Dir, operators: m.options.Operators, log: io.Discard, GraceS: graceS,
+		dir: m.options.Dir, operators: m.options.Operators, log: io.Discard, GraceS: graceS, LinkMbps: linkMbps,
 	}
 	if m.options.Log != nil {
 		h.log = m.options.Log(h)
