Refuse heartbeats that are not of the upstream beside the node

Cause: DecodeHeartbeat required some of the fields that an upstream sends, not address, zone, version and coldRemainingMs, and did not compare the address with that of the settings. Such a heartbeat has a later start time and superseded the real upstream, whose own heartbeats were then outdated.

Change: a heartbeat must be complete and name the address of the settings; its numbers must be in range, and its id, like that of a deregistration, text that can be sent in headers and between nodes. What is refused gets 400 and 821 heartbeat-refused with the field at fault.

Related path: a whole heartbeat to the id %ff%fe was taken and made other nodes close their connections to this one; it is refused as well.

--- a/pkg/event/upstream.go
+++ b/pkg/event/upstream.go
@@ -3,7 +3,7 @@
 // Events of the upstream of this host.
 var (
 	UpstreamChanged    = register(820, "upstream-changed", LevelInfo, "the upstream of this host reported a changed state", "")
-	HeartbeatRefused   = register(821, "heartbeat-refused", LevelWarn, "a heartbeat cannot be decoded or belongs to another service", "Find its sender.")
+	HeartbeatRefused   = register(821, "heartbeat-refused", LevelWarn, "a heartbeat cannot be decoded, lacks a field or belongs to another service or address; it has no effect", "Find its sender.")
 	HeartbeatDeferred  = register(830, "heartbeat-deferred", LevelInfo, "the first heartbeat arrived before the store or a peer had sent the last record of the upstream; heartbeats take effect from the next one", "")
 	HeartbeatOutdated  = register(822, "heartbeat-outdated", LevelInfo, "a heartbeat was older than the current record and was ignored", "")
 	UpstreamDown       = register(823, "upstream-down", LevelWarn, "the upstream of this host no longer listens; the requests that were in progress are suspected of having crashed it", "Check the upstream's own log.")
--- /dev/null
+++ b/pkg/host/heartbeat_test.go
@@ -0,0 +1,75 @@
+package host_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A heartbeat of another writer, which lacks a field, names another address or has an id
+// that cannot be read, is refused and displaces nothing. The upstream of the host is still
+// served, by this node and by those that would have been told.
+func TestHeartbeatOfAnotherWriterDisplacesNothing(t *testing.T) {
+	c := newCluster(t, 4)
+	m := c.hosts[0]
+	for name, tt := range map[string]struct {
+		id     string
+		change func(beat map[string]any)
+	}{
+		"no address":      {"other", func(b map[string]any) { delete(b, "address") }},
+		"another address": {"other", func(b map[string]any) { b["address"] = "127.0.0.1:9" }},
+		"port too large":  {"other", func(b map[string]any) { b["address"] = "127.0.0.1:70000" }},
+		"no zone":         {"other", func(b map[string]any) { delete(b["info"].(map[string]any), "zone") }},
+		"no version":      {"other", func(b map[string]any) { delete(b["info"].(map[string]any), "version") }},
+		"id not UTF-8":    {"%ff%fe", func(map[string]any) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			beat := map[string]any{
+				"address": m.Upstream.Address(), "born": time.Now().UnixMilli(),
+				"info":   map[string]any{"service": m.Service, "version": "v1", "zone": "z", "slots": slots},
+				"status": map[string]any{"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+			}
+			tt.change(beat)
+			is.Equal(c.announce(m, http.MethodPut, tt.id, beat), http.StatusBadRequest)
+			is.NoErr(m.Upstream.Beat(m.AnnounceAddress(), "ready"))
+			for i := range 12 {
+				is.Equal(c.get(c.hosts[i%4], "/desk/x", fmt.Sprintf("%s-%d", strings.ReplaceAll(name, " ", "-"), i)).status, http.StatusOK)
+			}
+			before, _ := m.Upstream.Seen()
+			c.eventually("requests reach the upstream", func() bool {
+				is.Equal(c.get(m, "/desk/x", "again").status, http.StatusOK)
+				seen, _ := m.Upstream.Seen()
+				return len(seen) > len(before)
+			})
+		})
+	}
+	c.eventually("logged", func() bool { return strings.Contains(m.log.String(), `"heartbeat-refused"`) })
+}
+
+// announce makes a call about an upstream, with a JSON body, to the node of a host.
+func (c *cluster) announce(m *member, method, id string, document map[string]any) int {
+	c.t.Helper()
+	body, err := json.Marshal(maps.Clone(document))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	request, err := http.NewRequest(method, "http://"+m.AnnounceAddress()+"/instances/"+id, strings.NewReader(string(body)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode
+}
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -124,7 +124,7 @@
 		}},
 		listenerService(readyName, func() (*httpserver.Server, error) { return platform.ServeReady(s.Listen.Ready, n.record) }, requestsName),
 		listenerService(announceName, func() (*httpserver.Server, error) {
-			return platform.ServeHeartbeats(s.Listen.Announce, s.Upstream.Service, n.record)
+			return platform.ServeHeartbeats(s.Listen.Announce, platform.LocalUpstream{Service: s.Upstream.Service, Address: s.Upstream.Address}, n.record)
 		}, leadName),
 		listenerService(metricsName, func() (*httpserver.Server, error) { return n.serveMetrics(s.MetricsAddress()) }, logName),
 	}
