Take no host record that its host cannot have written

Cause: nodes order records by their numbers, and took those of the store as they were. An entry with incarnation can never be superseded: the host's own node, which takes the next number, overflowed, and what it sent was older than the entry for all others.

Change: Host.Validate says whether a node can have written a record: text that can be sent as names, IP:port as the address, a known state, numbers in range.

A port out of range was dialled in vain and did no other harm.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -147,9 +147,9 @@
 }
 
 // Merge adds a record to the table and reports whether it changed the table. Records that
-// are incomplete, deleted or not newer than the known one are ignored.
+// are invalid, deleted or not newer than the known one are ignored.
 func (t *Table) Merge(h Host) bool {
-	if h.Node == "" || h.PeerAddress == "" {
+	if h.Validate() != nil {
 		return false
 	}
 	t.mu.Lock()
--- a/pkg/host/heartbeat_test.go
+++ b/pkg/host/heartbeat_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"maps"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
 
 // A heartbeat of another writer, which lacks a field, names another address or has an id
@@ -73,3 +76,34 @@
 	_, _ = io.Copy(io.Discard, answer.Body)
 	return answer.StatusCode
 }
+
+// A record of the store whose numbers are too large, such as an incarnation that no later
+// one can exceed, is not taken: the changes that the host itself sends still count.
+func TestRecordWithNumbersTooLargeIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	m := c.hosts[0]
+	m.StopHeartbeats()
+	raw, ok := c.store.Get("tarragondrum-rosters", "dc-0")
+	is.True(ok)
+	odd := regexp.MustCompile(`"incarnation":\d+`).ReplaceAll(raw, []byte(`"incarnation":9223372036854775807`))
+	is.True(string(odd) != string(raw))
+	c.store.Put("tarragondrum-rosters", "dc-0", odd)
+	// A node of the same data centre reads the roster when it starts and tells the others.
+	c.hosts[2].Kill()
+	c.start(c.hosts[2])
+	c.eventually("the restarted node is ready", func() bool { return c.hosts[2].IsReady(t.Context()) })
+	time.Sleep(2 * time.Second) // until every node would have the record
+	c.hosts[2].Upstream.Close() // the upstream of the first host alone serves the requests
+	address := m.Upstream.Address()
+	m.Upstream.Close()
+	next, err := standin.NewUpstream("up-next", m.Service, address, slots)
+	is.NoErr(err)
+	t.Cleanup(next.Close)
+	next.Born = time.Now().UnixMilli()
+	c.eventually("the new upstream is served", func() bool {
+		is.NoErr(next.Beat(m.AnnounceAddress(), standin.StateReady))
+		return c.get(c.hosts[1], "/desk/x", "next").status == http.StatusOK
+	})
+	c.eventually("reported", func() bool { return strings.Contains(c.hosts[2].log.String(), `"store-entry-unreadable"`) })
+}
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -37,10 +37,15 @@
 	}
 }
 
-// mergeAll merges records, logs the new ones in one line, and returns them.
+// mergeAll merges records, logs the new ones in one line, and returns them. Invalid ones are
+// logged and ignored.
 func (n *Node) mergeAll(hosts []fleet.Host, source string) []fleet.Host {
 	var news []fleet.Host
 	for _, h := range hosts {
+		if err := h.Validate(); err != nil {
+			n.log.Emit(event.PeerMessageUnreadable, event.F("peer", source), event.F("error", err))
+			continue
+		}
 		if _, removed := n.table.Removed(h); !removed && n.mergeHost(h) {
 			news = append(news, h)
 		}
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -16,6 +16,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/tarragondrum/tarragondrum/pkg/bundle"
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/pki"
 )
 
@@ -194,6 +195,9 @@
 			invalid(key, fmt.Sprintf("%q", value), "IP:port")
 		}
 	}
+	if s.Node.ID != "" && !fleet.IsValidName(s.Node.ID) {
+		invalid("node.id", fmt.Sprintf("%.40q", s.Node.ID), "at most 256 bytes of text without control characters")
+	}
 	if _, err := netip.ParseAddr(s.Node.IP); err != nil {
 		invalid("node.ip", fmt.Sprintf("%q", s.Node.IP), "an IP address")
 	}
--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -70,6 +70,8 @@
 	is.True(!strings.Contains(err.Error(), "unknown"))
 	_, err = hostconf.Parse([]byte(`{"node": `))
 	is.True(errors.Is(err, hostconf.ErrInvalid))
+	_, err = hostconf.Parse([]byte(strings.Replace(text, `"id": ""`, `"id": "a\nb"`, 1))) // other nodes would refuse its record
+	is.True(err != nil && strings.Contains(err.Error(), `node.id is "a\nb"`))
 }
 
 const operator = `{"name": "ioana", "keyID": "ioana-1", "publicKey": "bykRCNP/rjAtEZY1e72C7mQ5CXg0n9HGAlfC/izHDFw="}`
