--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -126,6 +126,7 @@
 		return
 	}
 	m.t.Cleanup(u.Close)
+	u.Announced = p.ip + ":9001" // the relay, through which the node connects
 	u.SetBehaviour(standin.Behaviour{Work: 20 * time.Millisecond})
 	m.upstreams = append(m.upstreams, u)
 	p.mu.Lock()
