Do not send a request again on the connection that refused it

What callers would have seen: a refusal ("not run, try again") for a request that its upstream runs, or a second run of it elsewhere (a report of another operator; shown by test).

Cause: a response belongs to the request whose id it bears. A caller that keeps its request id when it tries again may get the same connection to the upstream, and a late copy of the earlier refusal there bears the id of the second try.

Change: a connection remembers the ids of its newest requests with an error status, and the pool takes another one for such an id.

Result: TestCopyOfARefusalIsNotTheNextAnswer failed before (the copy was returned) and passes; late copies with other ids, or without one, were skipped before (TestLateCopyIsNoAnswer).

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
 )
 
@@ -75,7 +78,7 @@
 // value in the header idHeader. If fresh is set, the connection is new or was used within
 // freshIdle, so that the peer is unlikely to have closed it.
 func (p *Pool) Exchange(ctx context.Context, q *Request, idHeader string, fresh bool) (*Response, *Failure) {
-	c, failure := p.get(ctx, fresh)
+	c, failure := p.get(ctx, q.Header.Get(idHeader), fresh)
 	if failure != nil {
 		return nil, failure
 	}
@@ -144,6 +147,9 @@
 	used bool
 	// keepAlive is how long the peer keeps the idle connection open.
 	keepAlive time.Duration
+	// failedIDs are hashes of the ids of the newest requests that got an error status on this
+	// connection, at most maxFailedIDs.
+	failedIDs []uint64
 }
 
 func newClientConn(c net.Conn) *clientConn {
@@ -157,6 +163,23 @@
 	}
 }
 
+// maxFailedIDs is the number of requests with an error status that a connection remembers.
+const maxFailedIDs = 64
+
+// recordFailure records that the request with an id got an error status.
+func (c *clientConn) recordFailure(id string) {
+	if len(c.failedIDs) == maxFailedIDs {
+		c.failedIDs = c.failedIDs[1:]
+	}
+	c.failedIDs = append(c.failedIDs, xxhash.Sum64String(id))
+}
+
+// failed reports whether a request with an id got an error status on this connection. A late
+// copy of that response could not be told from the response to the next request with the id.
+func (c *clientConn) failed(id string) bool {
+	return len(c.failedIDs) > 0 && slices.Contains(c.failedIDs, xxhash.Sum64String(id))
+}
+
 // read returns the response to q and whether the connection can be reused. Responses to
 // other requests are skipped.
 func (c *clientConn) read(ctx context.Context, q *Request, idHeader string, answers *memory.Budget) (*Response, bool, error) {
@@ -172,6 +195,9 @@
 			continue
 		}
 		c.used = true
+		if r.status >= http.StatusBadRequest {
+			c.recordFailure(q.Header.Get(idHeader))
+		}
 		reusable = reusable && !r.closes && c.reader.Buffered() == 0
 		if keep, ok := parseKeepAlive(r.header); ok {
 			c.keepAlive = keep
--- a/pkg/h1/client_test.go
+++ b/pkg/h1/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -232,3 +233,40 @@
 		})
 	}
 }
+
+// An upstream refuses a request, and writes the refusal once more when a caller that keeps
+// its request ids sends the request again on the same connection. The second request runs,
+// so the copy, which promises that it does not, must not be returned for it.
+func TestCopyOfARefusalIsNotTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	refusal := strings.Replace(answer("me", "full"), "200 OK", "503 Service Unavailable", 1)
+	refused := make(map[string]bool) // by the remote address of the connection
+	var mu sync.Mutex
+	address, conns := startUpstream(t, func(c net.Conn, id string, _ []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		connection := c.RemoteAddr().String()
+		if len(refused) == 0 {
+			refused[connection] = true
+			write(c, refusal)
+			return
+		}
+		if refused[connection] {
+			write(c, refusal) // the copy
+		}
+		write(c, answer(id, "answer to "+id))
+	})
+	pool := h1.NewPool(address, memory.New(1<<20), func() {})
+	r, failure := pool.Exchange(context.Background(), request("me"), idHeader, false)
+	is.True(failure == nil)
+	is.Equal(r.Status, http.StatusServiceUnavailable)
+	r, failure = pool.Exchange(context.Background(), request("me"), idHeader, false)
+	is.True(failure == nil)
+	is.Equal(string(r.Body), "answer to me")
+	is.Equal(conns.Load(), int32(2))
+	// The connection with the refusal still serves other requests.
+	idle, failure := pool.Exchange(context.Background(), request("other"), idHeader, false)
+	is.True(failure == nil)
+	is.Equal(string(idle.Body), "answer to other")
+	is.Equal(conns.Load(), int32(2))
+}
--- a/pkg/h1/pool.go
+++ b/pkg/h1/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,10 +64,11 @@
 	p.idle = nil
 }
 
-// get returns an idle connection that is still open and has no unread data, or a new one.
-func (p *Pool) get(ctx context.Context, fresh bool) (*clientConn, *Failure) {
+// get returns a connection for a request with an id: an idle one that is still open and has no
+// unread data, or a new one.
+func (p *Pool) get(ctx context.Context, id string, fresh bool) (*clientConn, *Failure) {
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(id)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -79,17 +81,18 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle() *clientConn {
+// takeIdle removes and returns the most recently used idle connection on which no request with
+// the id has failed, or nil.
+func (p *Pool) takeIdle(id string) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.failed(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*clientConn, *Failure) {
