Check in the soak that a planned stop cuts no request

Cause: the soak sends SIGTERM to nodes while callers keep their connections, but checked nothing of it: a request without an answer counted as one to a process that is down.

Change: a request that an upstream ran and whose connection ends without an answer between the SIGTERM and the end of that process is a violation, unless the process was frozen meanwhile.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +23,10 @@
 	startCount int // number of the start of the host's process, from 1
 	at         time.Time
 	status     int // 0 if there was no complete answer
-	body       string
-	signature  string
+	// cut is set if the connection ended before the answer, at the time answered.
+	cut       bool
+	body      string
+	signature string
 	// answered is when the answer came, and upstream, limit and leaving are what it says of
 	// its upstream, empty without a notice.
 	answered                 time.Time
@@ -36,6 +39,15 @@
 	at       time.Time
 }
 
+// interval is a time in which the process of a host was stopped as planned, from the signal
+// to its end, or was frozen.
+type interval struct {
+	host string
+	// startCount is the number of the start that was stopped.
+	startCount  int
+	from, until time.Time
+}
+
 // receivedRequest is a request that an upstream received.
 type receivedRequest struct {
 	standin.Seen
@@ -48,6 +60,20 @@
 	mu      sync.Mutex
 	sent    []sent
 	leaving []leaving
+	stops   []interval
+	freezes []interval
+}
+
+func (l *ledger) addStop(i interval) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stops = append(l.stops, i)
+}
+
+func (l *ledger) addFreeze(i interval) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.freezes = append(l.freezes, i)
 }
 
 func (l *ledger) add(s sent) {
@@ -69,8 +95,8 @@
 // check compares the recorded results with the requests that upstreams received, and returns
 // a message for each violation: an order that ran twice, a request that ran although its
 // caller was told that it did not, a wrong or unsigned answer, a process that went back to an
-// older version, a request to an upstream after its drain time, or more requests to an
-// upstream than the limit that it names.
+// older version, a request to an upstream after its drain time, more requests to an
+// upstream than the limit that it names, or a request that a planned stop cut.
 func (l *ledger) check(seen []receivedRequest) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,6 +107,7 @@
 		}
 	}
 	violations := append(checkLeaving(l.leaving, seen), checkNotices(l.sent, seen)...)
+	violations = append(violations, l.checkStops(ran)...)
 	newest := make(map[string]int) // newest version that a process served, by host and start
 	for _, s := range l.sent {
 		if s.order && ran[s.id] > 1 {
@@ -121,6 +148,28 @@
 	return violations
 }
 
+// checkStops returns a message for each request that an upstream ran and whose connection a
+// planned stop closed without an answer. Requests end long before the grace period does,
+// unless the process was frozen.
+func (l *ledger) checkStops(ran map[string]int) []string {
+	var violations []string
+	for _, stop := range l.stops {
+		frozen := slices.ContainsFunc(l.freezes, func(f interval) bool {
+			return f.host == stop.host && f.from.Before(stop.until) && f.until.After(stop.from)
+		})
+		if frozen {
+			continue
+		}
+		for _, s := range l.sent {
+			if s.cut && ran[s.id] > 0 && s.host == stop.host && s.startCount == stop.startCount && s.answered.After(stop.from) {
+				violations = append(violations, fmt.Sprintf("request %s was cut %s after the signal of a planned stop, which took %s",
+					s.id, s.answered.Sub(stop.from), stop.until.Sub(stop.from)))
+			}
+		}
+	}
+	return violations
+}
+
 const (
 	// contactTime is how long after an upstream named a limit it may still get more.
 	contactTime = 3 * time.Second
@@ -235,6 +284,26 @@
 		}
 		return seen
 	}
+	stop := interval{host: "h", startCount: 1, from: now, until: now.Add(4 * time.Second)}
+	cut := sent{id: "a", host: "h", startCount: 1, cut: true, answered: now.Add(3 * time.Second)}
+	cutBefore := cut
+	cutBefore.answered = now.Add(-time.Second)
+	for name, tt := range map[string]struct {
+		stops, freezes []interval
+		sent           []sent
+		seen           []receivedRequest
+		violations     int
+	}{
+		"cut by a stop":           {stops: []interval{stop}, sent: []sent{cut}, seen: []receivedRequest{run("a", "u", now)}, violations: 1},
+		"cut before it ran":       {stops: []interval{stop}, sent: []sent{cut}},
+		"cut before a stop":       {stops: []interval{stop}, sent: []sent{cutBefore}, seen: []receivedRequest{run("a", "u", now)}},
+		"cut by a stop of frozen": {stops: []interval{stop}, freezes: []interval{stop}, sent: []sent{cut}, seen: []receivedRequest{run("a", "u", now)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &ledger{sent: tt.sent, stops: tt.stops, freezes: tt.freezes}
+			is.New(t).Equal(len(l.check(tt.seen)), tt.violations)
+		})
+	}
 	for name, tt := range map[string]struct {
 		sent       []sent
 		leaving    []leaving
--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -251,11 +252,13 @@
 	r.Header.Set(platform.HeaderDeadline, "1200")
 	a, err := client.Do(r)
 	if err != nil {
-		return // the process may be down
+		s.cut, s.answered = isCut(err), time.Now() // the process may be down
+		return
 	}
 	defer func() { _ = a.Body.Close() }()
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
+		s.cut, s.answered = isCut(err), time.Now()
 		return // truncated, and the caller can tell: counts as no answer
 	}
 	s.status, s.body, s.signature = a.StatusCode, string(body), a.Header.Get(platform.HeaderSignature)
@@ -263,6 +266,13 @@
 	s.limit, s.leaving = a.Header.Get(platform.HeaderLimit), a.Header.Get(platform.HeaderLeaving)
 }
 
+// isCut reports whether an error of a request means that its connection was closed before the
+// answer.
+func isCut(err error) bool {
+	var n net.Error
+	return !errors.Is(err, syscall.ECONNREFUSED) && !(errors.As(err, &n) && n.Timeout())
+}
+
 // seen returns the requests that all upstreams received.
 func (m *mesh) seen() []receivedRequest {
 	m.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,7 +122,13 @@
 	share := random.IntN(3)
 	switch random.IntN(17) {
 	case 0:
-		return func() { m.signal(p, syscall.SIGSTOP); time.Sleep(span); m.signal(p, syscall.SIGCONT) }
+		return func() {
+			from := time.Now()
+			m.signal(p, syscall.SIGSTOP)
+			time.Sleep(span)
+			m.signal(p, syscall.SIGCONT)
+			m.ledger.addFreeze(interval{host: p.name, from: from, until: time.Now()})
+		}
 	case 1:
 		return func() { m.restart(p, syscall.SIGKILL, span/4) }
 	case 2:
@@ -200,7 +206,14 @@
 	}
 	defer p.busy.Unlock()
 	m.signal(p, syscall.SIGCONT)
+	p.mu.Lock()
+	startCount := p.startCount
+	p.mu.Unlock()
+	from := time.Now()
 	m.signal(p, s)
+	if s == syscall.SIGTERM {
+		m.ledger.addStop(interval{host: p.name, startCount: startCount, from: from, until: time.Now()})
+	}
 	time.Sleep(downtime)
 	m.start(p)
 }
