Check heartbeats by the rule for host records

Cause: a heartbeat with a sequence over 2^53 was accepted, but made the record of its host one that other nodes refuse.

Change: Upstream.Validate is the one rule for what a node may know of an upstream; heartbeats and records are checked by it.

Result: the case "large sequence" of TestInvalidHeartbeatsAreRefused failed before and passes; 15 s of FuzzDecodeBeat, which asserts the rule now, find nothing.

--- a/pkg/fleet/validate.go
+++ b/pkg/fleet/validate.go
@@ -16,8 +16,8 @@
 	// maxCount is the largest count of changes or heartbeats. Larger numbers are not exact in
 	// all JSON decoders.
 	maxCount = 1 << 53
-	// MaxSlots is the largest number of slots of an upstream.
-	MaxSlots = 1_000_000
+	// maxSlots is the largest number of slots of an upstream.
+	maxSlots = 1_000_000
 	// maxNameBytes is the maximum length of a name.
 	maxNameBytes = 256
 )
@@ -28,7 +28,6 @@
 // Validate returns an error unless a node can have written the record. Records are ordered by
 // their numbers, so that one that is too large could never be superseded.
 func (h *Host) Validate() error {
-	u := &h.Upstream
 	address, err := netip.ParseAddrPort(h.PeerAddress)
 	switch {
 	case !IsValidName(h.Node):
@@ -37,14 +36,26 @@
 		return fmt.Errorf("host %q has the peer address %.40q, want IP:port: %w", h.Node, h.PeerAddress, ErrInvalidRecord)
 	case h.Incarnation < 0 || h.Incarnation > maxUnixMs || h.Change < 0 || h.Change > maxCount || h.Size < 0 || h.Size > maxSize:
 		return fmt.Errorf("host %q has incarnation %d, change %d, size %d: %w", h.Node, h.Incarnation, h.Change, h.Size, ErrInvalidRecord)
-	case u.State == StateNone:
+	case h.Upstream.State == StateNone:
 		return nil
-	case lifecycleOrder(u.State) == 0 || !IsValidName(u.ID):
-		return fmt.Errorf("host %q has upstream %.40q with state %.40q: %w", h.Node, u.ID, u.State, ErrInvalidRecord)
-	case u.Born < 0 || u.Born > maxUnixMs || u.WarmAtUnixMs < 0 || u.WarmAtUnixMs > maxUnixMs ||
-		u.Sequence < 0 || u.Sequence > maxCount || u.Slots < 0 || u.Slots > MaxSlots:
-		return fmt.Errorf("host %q has an upstream with start time %d, sequence %d, %d slots, warm at %d: %w",
-			h.Node, u.Born, u.Sequence, u.Slots, u.WarmAtUnixMs, ErrInvalidRecord)
+	}
+	if err := h.Upstream.Validate(); err != nil {
+		return fmt.Errorf("host %q: %w", h.Node, err)
+	}
+	return nil
+}
+
+// Validate returns an error unless u can be the state of an upstream that a node knows.
+func (u *Upstream) Validate() error {
+	switch {
+	case !IsValidName(u.ID):
+		return fmt.Errorf("upstream %.40q: %w", u.ID, ErrInvalidRecord)
+	case lifecycleOrder(u.State) == 0:
+		return fmt.Errorf("upstream %q has the state %.40q: %w", u.ID, u.State, ErrInvalidRecord)
+	case u.Slots < 0 || u.Slots > maxSlots:
+		return fmt.Errorf("upstream %q has %d slots, want at most %d: %w", u.ID, u.Slots, maxSlots, ErrInvalidRecord)
+	case u.Born < 0 || u.Born > maxUnixMs || u.WarmAtUnixMs < 0 || u.WarmAtUnixMs > maxUnixMs || u.Sequence < 0 || u.Sequence > maxCount:
+		return fmt.Errorf("upstream %q has the start time %d, sequence %d and warm time %d: %w", u.ID, u.Born, u.Sequence, u.WarmAtUnixMs, ErrInvalidRecord)
 	}
 	return nil
 }
