--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -270,7 +270,8 @@
 // answer.
 func isCut(err error) bool {
 	var n net.Error
-	return !errors.Is(err, syscall.ECONNREFUSED) && !(errors.As(err, &n) && n.Timeout())
+	timedOut := errors.As(err, &n) && n.Timeout()
+	return !timedOut && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // seen returns the requests that all upstreams received.
