Write no part of an answer whose call was cancelled meanwhile

Cause: the write loop chose a large answer, waited until its next part was due, and wrote that part although the call was cancelled in between.

Change: transfers.next returns nothing for an answer that is no longer queued.

--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -67,7 +67,7 @@
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
-	// acceptUntil is when a retiring server stops accepting connections even if more arrive.
+	// acceptUntil is the end of retireAcceptTime of a retiring server.
 	acceptUntil time.Time
 	// notAccepting is set once no connection will be accepted any more.
 	notAccepting bool
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -159,7 +159,9 @@
 		case q := <-s.queue:
 			return s.dequeue(q), nil
 		case <-due:
-			return s.large.next(t), nil
+			if f := s.large.next(t); f != nil {
+				return f, nil
+			}
 		case <-s.large.added:
 		}
 	}
--- a/pkg/link/transfer.go
+++ b/pkg/link/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
@@ -63,10 +64,14 @@
 }
 
 // next returns the next frame of an answer: the answer with the first part of its body, then
-// the other parts. It removes the answer from the queue with the last part.
+// the other parts. It removes the answer from the queue with the last part. It returns nil if
+// the answer was cancelled.
 func (l *transfers) next(t *transfer) *frame {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !slices.Contains(l.list, t) {
+		return nil
+	}
 	body := t.answer.Body[t.offset:min(t.offset+pace.PartBytes, len(t.answer.Body))]
 	f := &frame{Kind: kindPart, ID: t.id, Part: &part{Offset: t.offset, Body: body}}
 	if t.offset == 0 {
--- a/pkg/link/transfer_test.go
+++ b/pkg/link/transfer_test.go
@@ -112,6 +112,40 @@
 	is.True(p.server.Self.Uplink.Backlog() < 300*time.Millisecond)
 }
 
+// Pending counts calls that run and answers that are being written, and no answer of a call
+// that was cancelled, whenever that happens.
+func TestPendingCountsWhatIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	p := newSlowPair(t, 200<<10)
+	_, err := p.call(context.Background(), "/warm")
+	is.NoErr(err)
+	settled := func() bool {
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if p.server.Pending() == 0 {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(settled())
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.call(context.Background(), "/large")
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	is.True(p.server.Pending() > 0)
+	is.NoErr(<-done)
+	is.True(settled())
+	for i := range 30 { // the transfer takes a fifth of a second
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10*i)*time.Millisecond)
+		_, _ = p.call(ctx, "/large")
+		cancel()
+	}
+	is.True(settled())
+	is.Equal(p.server.Pending(), 0)
+}
+
 // Large answers that don't fit into the memory budget must fail with ReasonNoMemory, and
 // released ones must return all their memory to the budget.
 func TestLargeAnswersStayWithinMemoryBudget(t *testing.T) {
