Leave the test of large answers at a stop more time

Cause: the call came 0.3 s before the node stops to take calls, so that a slow machine could have it refused. Change: it comes 0.7 s before, and the answer is larger, so that its transfer still goes on when the stop would have ended.

--- a/pkg/host/stop_load_test.go
+++ b/pkg/host/stop_load_test.go
@@ -117,8 +117,8 @@
 }
 
 // A planned stop waits until a large answer has been written to the node that called. Here
-// the upstream has answered before the node stops to take calls, and the answer takes
-// 0.4 s on the link of the host.
+// the upstream has answered before the node stops to take calls, 2.1 s after the signal, and
+// the answer takes 0.7 s on the link of the host.
 func TestStopSendsLargeAnswers(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 2)
@@ -128,14 +128,14 @@
 	is.NoErr(m.WriteSettings())
 	c.start(m)
 	c.eventually("the restarted node serves", func() bool { return c.get(c.hosts[1], "/desk/x", "again").status == http.StatusOK })
-	const size = 400 << 10
-	m.Upstream.SetBehaviour(standin.Behaviour{Work: 150 * time.Millisecond, Size: size})
+	const size = 700 << 10
+	m.Upstream.SetBehaviour(standin.Behaviour{Work: 100 * time.Millisecond, Size: size})
 	stopped := make(chan struct{})
 	go func() {
 		m.Node.Stop()
 		close(stopped)
 	}()
-	time.Sleep(1800 * time.Millisecond)
+	time.Sleep(1400 * time.Millisecond)
 	r := c.get(c.hosts[1], "/desk/x", "large")
 	is.NoErr(r.err)
 	is.Equal(r.status, http.StatusOK)
