--- a/pkg/event/host.go
+++ b/pkg/event/host.go
@@ -8,7 +8,7 @@
 	PeerDisconnected        = register(423, "peer-disconnected", LevelWarn, "the connection to another node was lost", "Check that host and the links to its data centre.")
 	HostRecordsReceived     = register(425, "host-records-received", LevelInfo, "records of several hosts arrived together; each is listed with its host, incarnation, change and the state of its upstream", "")
 	HostTableNotEncoded     = register(426, "host-table-not-encoded", LevelError, "the host table could not be encoded for another node", "Report it with the error.")
-	PeerMessageUnreadable   = register(427, "peer-message-unreadable", LevelError, "a message from another node cannot be decoded", "Check whether that node runs another version.")
+	PeerMessageUnreadable   = register(427, "peer-message-unreadable", LevelError, "a message from another node cannot be decoded, or a host record in it is invalid and was ignored", "Check whether that node runs another version.")
 	UpdateSourceReplaced    = register(428, "update-source-replaced", LevelWarn, "a node that sends updates to this one is silent; another takes its place until it is heard again", "Check that host if this lasts.")
 	InboundPeerDisconnected = register(424, "inbound-peer-disconnected", LevelInfo, "a connection that another node opened to this one was closed", "")
 )
