Log what a lead reads and which configurations are dropped

Cause: the logs could not tell whether a version after the store's return was read and dropped, or never read. The client of the store now reads the epoch in its answers; 230 store-restored, 231 config-read, 232 config-watch-failed and 544 config-skipped report it, with a counter and a gauge. No decision changes.

--- a/pkg/cli/bundle.go
+++ b/pkg/cli/bundle.go
@@ -116,7 +116,7 @@
 	if f.Store == "" {
 		return nil, nil, usagef("no address of the store given: --store IP:PORT or --settings FILE")
 	}
-	client := platform.NewStore(f.Store, func(string, string) {})
+	client := platform.NewStore(f.Store, platform.StoreHooks{})
 	s.store = platform.NewObjects(client)
 	return s, client.Close, nil
 }
--- a/pkg/event/store.go
+++ b/pkg/event/store.go
@@ -11,5 +11,8 @@
 	HostWithdrawn        = register(225, "host-withdrawn", LevelInfo, "this node is shutting down and its upstream has ended; other nodes were told to remove the host", "")
 	LeadStarted          = register(226, "lead-started", LevelInfo, "this node reads the store on behalf of others, because it hears from no other node that does", "")
 	LeadEnded            = register(227, "lead-ended", LevelInfo, "another node reads the store on behalf of this one", "")
+	StoreRestored        = register(230, "store-restored", LevelWarn, "the platform's store was restored from an older copy; what it had acknowledged since that copy is lost there", "Compare the version in force with the one in the store, and sign off what the store has lost again.")
+	ConfigRead           = register(231, "config-read", LevelInfo, "this node read the configuration from the store, because the store's revision had changed", "")
+	WatchFailed          = register(232, "config-watch-failed", LevelInfo, "a watch of the configuration ended with an error; it is repeated, and plain reads go on meanwhile", "")
 	PreviousRecordFound  = register(228, "previous-record-found", LevelInfo, "the store or a peer has a newer record of the upstream of this host than this process, written by a previous process", "")
 )
--- a/pkg/host/cluster_test.go
+++ b/pkg/host/cluster_test.go
@@ -238,7 +238,7 @@
 // stored returns the state of a host's upstream in the store, or StateNone.
 func (c *cluster) stored(host string) fleet.State {
 	c.t.Helper()
-	store := platform.NewStore(c.mesh.StoreAddress, func(string, string) {})
+	store := platform.NewStore(c.mesh.StoreAddress, platform.StoreHooks{})
 	defer store.Close()
 	rosters, err := store.Rosters(c.t.Context(), false)
 	if err != nil {
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -8,6 +8,7 @@
 package host
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"io"
@@ -64,13 +65,15 @@
 	table    *fleet.Table
 	suspects *suspect.Tracker
 	storePtr atomic.Pointer[platform.Store]
-	record   *record
-	rosters  *rosters
-	peers    *peers
-	lead     *lead
-	intake   *intake.Service
-	dispatch *dispatch.Service
-	outbound *h1.Server
+	// storeEpoch is the latest known epoch of the store, 0 before its first answer.
+	storeEpoch atomic.Uint64
+	record     *record
+	rosters    *rosters
+	peers      *peers
+	lead       *lead
+	intake     *intake.Service
+	dispatch   *dispatch.Service
+	outbound   *h1.Server
 	// answers bounds the memory of all answers in progress, and uplink limits the rate of
 	// the host's link.
 	answers *memory.Budget
@@ -128,7 +131,8 @@
 	n.answers = memory.New(int64(answerShare * float64(s.Node.MemoryMB) * (1 << 20)))
 	n.uplink = pace.NewUplink(s.Node.LinkMbps)
 	n.observer.watchLoads(n.registry, n.answers, n.uplink)
-	n.storePtr.Store(platform.NewStore(s.Store.Address, n.observer.storeCall))
+	n.observer.watchStore(n.registry, &n.storeEpoch)
+	n.storePtr.Store(n.newStore(s.Store.Address))
 	n.record = newRecord(n)
 	n.rosters = newRosters(n)
 	n.peers = newPeers(n)
@@ -228,6 +232,29 @@
 
 func (n *Node) store() *platform.Store { return n.storePtr.Load() }
 
+// newStore returns a client of the store at an address.
+func (n *Node) newStore(address string) *platform.Store {
+	return platform.NewStore(address, platform.StoreHooks{Called: n.observer.storeCall, EpochSeen: n.observeEpoch})
+}
+
+// observeEpoch records the epoch of the store, and reports that the store was restored if an
+// earlier one was known.
+func (n *Node) observeEpoch(epoch uint64) {
+	for {
+		known := n.storeEpoch.Load()
+		if epoch <= known {
+			return
+		}
+		if !n.storeEpoch.CompareAndSwap(known, epoch) {
+			continue
+		}
+		if known > 0 {
+			n.log.Emit(event.StoreRestored, event.F("before", known), event.F("epoch", epoch))
+		}
+		return
+	}
+}
+
 // staleAnswer is the answer to a call that may have run on an earlier process.
 var staleAnswer = &link.Answer{Outcome: link.Unknown, Reason: intake.ReasonStale, ReachedUpstream: true}
 
@@ -290,6 +317,9 @@
 // it did.
 func (n *Node) applyConfig(raw []byte, revision uint64, source string) bool {
 	if s := n.config.Current(); s != nil && s.Revision >= revision {
+		if !bytes.Equal(s.Raw, raw) {
+			n.skipConfig(raw, revision, source)
+		}
 		return false
 	}
 	s, err := platform.DecodeConfig(raw, revision)
@@ -302,6 +332,7 @@
 	}
 	before := n.Version()
 	if !n.config.Publish(s) {
+		n.skipConfig(raw, revision, source)
 		return false
 	}
 	now := time.Now()
@@ -315,6 +346,14 @@
 	return true
 }
 
+// skipConfig logs and counts a configuration that does not replace the one in force.
+func (n *Node) skipConfig(raw []byte, revision uint64, source string) {
+	n.observer.configsSkipped.Inc()
+	current := n.config.Current()
+	n.log.Emit(event.ConfigSkipped, event.F("revision", revision), event.F("bytes", len(raw)), event.F("source", source),
+		event.F("inForce", current.Version), event.F("inForceRevision", current.Revision), event.F("epoch", n.storeEpoch.Load()))
+}
+
 // maxUnknownKindLines bounds the log lines about unknown kinds of one version; the counter
 // includes all.
 const maxUnknownKindLines = 10
--- a/pkg/host/hosts_test.go
+++ b/pkg/host/hosts_test.go
@@ -22,7 +22,7 @@
 		is := is.New(t)
 		c := newCluster(t, 4)
 		time.Sleep(3 * time.Second) // until one lead remains and has written all records
-		store := platform.NewStore(c.mesh.StoreAddress, func(string, string) {})
+		store := platform.NewStore(c.mesh.StoreAddress, platform.StoreHooks{})
 		t.Cleanup(store.Close)
 		name := c.hosts[victim].Name
 		c.eventually("all are stored", func() bool {
--- a/pkg/host/lead_reader.go
+++ b/pkg/host/lead_reader.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/platform"
 )
@@ -42,6 +43,8 @@
 	if err != nil {
 		return err
 	}
+	l.node.log.Emit(event.ConfigRead, event.F("storeRevision", revision), event.F("before", read), event.F("revision", d.Revision),
+		event.F("epoch", l.node.storeEpoch.Load()))
 	l.mu.Lock()
 	l.readRevision = revision
 	l.revision = max(l.revision, revision)
@@ -69,6 +72,9 @@
 		}
 		d, next, err := l.node.store().WatchConfig(ctx, revision, watchWait)
 		if err != nil {
+			if ctx.Err() == nil {
+				l.node.log.Emit(event.WatchFailed, event.F("revision", revision), event.F("epoch", l.node.storeEpoch.Load()), event.F("error", err))
+			}
 			return err
 		}
 		l.mu.Lock()
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,23 +50,26 @@
 	panics    *prometheus.CounterVec
 	// unknownKinds counts the routes of each version whose kind is not known.
 	unknownKinds prometheus.Counter
+	// configsSkipped counts the configurations that did not replace the one in force.
+	configsSkipped prometheus.Counter
 }
 
 func newObserver(r *metric.Registry, log *event.Log) *observer {
 	return &observer{
-		log:          log,
-		successes:    rate.NewLimiter(maxSuccessLines, maxSuccessLines),
-		failures:     rate.NewLimiter(maxFailureLines, maxFailureLines),
-		skipped:      metric.Counter(r, "log_lines_skipped_total", "Log lines of requests that were left out to bound their rate.").WithLabelValues(),
-		answers:      metric.Counter(r, "requests_total", "Final answers to callers, by route, outcome, status and reason.", "route", "outcome", "status", "reason"),
-		retries:      metric.Counter(r, "request_retries_total", "Tries without an answer, by reason, by what followed, and by whether it was allowed.", "reason", "next", "allowed"),
-		intake:       metric.Counter(r, "intake_total", "Calls to the upstream of this host, by outcome and reason.", "outcome", "reason"),
-		store:        metric.Counter(r, "store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome"),
-		opened:       metric.Counter(r, "upstream_connections_total", "Connections opened to the upstream of this host.").WithLabelValues(),
-		seconds:      metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
-		linkWaits:    metric.Histogram(r, "link_wait_seconds", "Time that short messages to other nodes wait to be written.", linkWaitBuckets).WithLabelValues(),
-		unknownKinds: metric.Counter(r, "unknown_route_kinds_total", "Routes of a kind that is not known, in all versions put in force.").WithLabelValues(),
-		waits:        metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
+		log:            log,
+		successes:      rate.NewLimiter(maxSuccessLines, maxSuccessLines),
+		failures:       rate.NewLimiter(maxFailureLines, maxFailureLines),
+		skipped:        metric.Counter(r, "log_lines_skipped_total", "Log lines of requests that were left out to bound their rate.").WithLabelValues(),
+		answers:        metric.Counter(r, "requests_total", "Final answers to callers, by route, outcome, status and reason.", "route", "outcome", "status", "reason"),
+		retries:        metric.Counter(r, "request_retries_total", "Tries without an answer, by reason, by what followed, and by whether it was allowed.", "reason", "next", "allowed"),
+		intake:         metric.Counter(r, "intake_total", "Calls to the upstream of this host, by outcome and reason.", "outcome", "reason"),
+		store:          metric.Counter(r, "store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome"),
+		opened:         metric.Counter(r, "upstream_connections_total", "Connections opened to the upstream of this host.").WithLabelValues(),
+		seconds:        metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
+		linkWaits:      metric.Histogram(r, "link_wait_seconds", "Time that short messages to other nodes wait to be written.", linkWaitBuckets).WithLabelValues(),
+		unknownKinds:   metric.Counter(r, "unknown_route_kinds_total", "Routes of a kind that is not known, in all versions put in force.").WithLabelValues(),
+		configsSkipped: metric.Counter(r, "configs_skipped_total", "Configurations from the store and from peers that did not replace the one in force.").WithLabelValues(),
+		waits:          metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
 	}
 }
 
@@ -75,6 +79,11 @@
 	metric.Gauge(r, "uplink_wait_seconds", "Time that a new large answer waits for the host's link.", func() float64 { return uplink.Backlog().Seconds() })
 }
 
+// watchStore registers a gauge of the store's epoch.
+func (o *observer) watchStore(r *metric.Registry, epoch *atomic.Uint64) {
+	metric.Gauge(r, "store_epoch", "Epoch of the platform's store; it increases when the store is restored from an older copy.", func() float64 { return float64(epoch.Load()) })
+}
+
 // watchUpstreamLimit registers a gauge of the limit that the upstream of this host names.
 func (o *observer) watchUpstreamLimit(r *metric.Registry, s *intake.Service) {
 	metric.Gauge(r, "upstream_limit_per_second", "Requests a second that the upstream of this host accepts from all nodes together, +Inf without a limit.", func() float64 {
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -8,7 +8,6 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/hostconf"
-	"github.com/tarragondrum/tarragondrum/platform"
 )
 
 // settingsInterval is the time between two checks of the settings file.
@@ -43,7 +42,7 @@
 		n.credentials.Revoke(s.Peers.RevokedSerials())
 	}
 	if old.Store.Address != s.Store.Address {
-		n.storePtr.Swap(platform.NewStore(s.Store.Address, n.observer.storeCall)).Close()
+		n.storePtr.Swap(n.newStore(s.Store.Address)).Close()
 	}
 	listen := old.Listen
 	listen.Profiles = s.Listen.Profiles // applied without a restart
