Show what is lost when the store is restored from an older copy

The stand-in of the store can be put back to a copy of itself: revisions go back and are assigned again, watches get 410, and the epoch in its answers rises.

--- /dev/null
+++ b/pkg/host/restored_store_test.go
@@ -0,0 +1,86 @@
+package host_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
+)
+
+// applyTime is within how long a version is in force on every node.
+const applyTime = 2 * time.Second
+
+// A version that the store acknowledges after it was restored from an older copy is in force
+// on every node, also with a revision that an earlier version had.
+func TestVersionAfterRestoreIsDropped(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	c.awaitStored(fleet.StateReady)
+	older := c.store.Copy()
+	c.putConfig(3, "desk")
+	c.eventuallyVersion(3)
+	c.store.Restore(older)
+	time.Sleep(time.Second) // until a lead has read the older version
+	c.putConfig(4, "ledger")
+	acknowledged := time.Now()
+	for _, m := range c.hosts {
+		c.eventuallyLedger(m)
+	}
+	is.True(time.Since(acknowledged) < applyTime)
+}
+
+// Records that the store lost are written again although they do not change, and hosts that
+// the older copy does not have are not removed.
+func TestRecordsLostByARestoreAreNotWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	c.awaitStored(fleet.StateReady)
+	older := c.store.Copy()
+	third, err := c.mesh.AddHost(localmesh.Service{Name: "desk", Slots: slots})
+	is.NoErr(err)
+	is.NoErr(third.Start())
+	c.await((*localmesh.Mesh).WaitUpstreamsReady)
+	leaving := c.hosts[1]
+	leaving.StopHeartbeats()
+	is.NoErr(leaving.Upstream.Beat(leaving.AnnounceAddress(), "draining"))
+	c.eventually("both are stored", func() bool {
+		return c.stored(third.Name) == fleet.StateReady && c.stored(leaving.Name) == fleet.StateLeaving
+	})
+	c.store.Restore(older)
+	c.eventually("both are stored again", func() bool {
+		return c.stored(third.Name) == fleet.StateReady && c.stored(leaving.Name) == fleet.StateLeaving
+	})
+	for _, m := range c.hosts {
+		is.True(!strings.Contains(m.log.String(), `"host-removed"`))
+	}
+}
+
+// awaitStored waits until the store has every host with a state of its upstream.
+func (c *cluster) awaitStored(state fleet.State) {
+	c.t.Helper()
+	c.eventually("all hosts are stored", func() bool {
+		for _, m := range c.hosts {
+			if c.stored(m.Name) != state {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// eventuallyVersion waits until every node has a version in force.
+func (c *cluster) eventuallyVersion(version uint64) {
+	c.t.Helper()
+	c.eventually("version on all nodes", func() bool {
+		for _, m := range c.hosts {
+			if m.Node.Version() != version {
+				return false
+			}
+		}
+		return true
+	})
+}
