Order configurations by version, not by the revision of the store

Cause: a node compared the store's revision of a configuration with that of the one in force and dropped lower and equal ones undecoded. A restored store assigns revisions again. The same assumption hid a change from a lead whose last read had the same revision, left its watch at a revision that the store did not have, and let peers send the compressed document of the former version under the new one's revision.

Versions alone order configurations; a revision only tells that a document is known.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -185,7 +185,7 @@
 		Parts: []bundle.Part{{Service: "desk", Weight: 9}, {Service: "old", Weight: 1}}})
 	is.NoErr(bundle.Check(&b))
 	c := b.Config(4)
-	s, err := meshconf.Compile(c, 1, nil)
+	s, err := meshconf.Compile(c, model.Revision{}, nil)
 	is.NoErr(err)
 	is.Equal(s.Version, uint64(4))
 	plain, _ := s.Match("desk.example", "/x")
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -22,8 +22,10 @@
 // Refusal describes a configuration that a node rejected.
 type Refusal struct {
 	Time time.Time `json:"time"`
-	// Revision is the store's revision of the configuration.
+	// Revision is the number of the store's revision of the configuration, and Epoch the
+	// epoch in which the store assigned it.
 	Revision uint64 `json:"revision"`
+	Epoch    uint64 `json:"epoch,omitempty"`
 	// Source is where the configuration came from: the store or a peer.
 	Source string `json:"source"`
 	Error  string `json:"error"`
--- a/pkg/host/config_pull.go
+++ b/pkg/host/config_pull.go
@@ -4,21 +4,8 @@
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/link"
-	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
-	"github.com/tarragondrum/tarragondrum/pkg/pack"
 )
 
-// compressedConfig returns the compressed document of a configuration. It caches the
-// newest.
-func (p *peers) compressedConfig(s *meshconf.Snapshot) []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.compressedRevision != s.Revision {
-		p.compressed, p.compressedRevision = pack.Compress(s.Raw), s.Revision
-	}
-	return p.compressed
-}
-
 // pull requests a newer configuration from a peer, unless one was requested within
 // pullTimeout. Leads repeat their announcements, so this node tries again until it has the
 // version.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -31,6 +31,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
 	"github.com/tarragondrum/tarragondrum/pkg/metric"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
 	"github.com/tarragondrum/tarragondrum/pkg/pki"
 	"github.com/tarragondrum/tarragondrum/pkg/suspect"
@@ -313,12 +314,18 @@
 	return 0
 }
 
-// applyConfig puts a configuration in force if it is newer and valid, and reports whether
-// it did.
-func (n *Node) applyConfig(raw []byte, revision uint64, source string) bool {
-	if s := n.config.Current(); s != nil && s.Revision >= revision {
-		if !bytes.Equal(s.Raw, raw) {
-			n.skipConfig(raw, revision, source)
+// applyConfig puts a configuration in force if its version is newer and it is valid, and
+// reports whether it did. Revisions do not order configurations, since the store assigns
+// them again after it was restored; they only tell that a document is known.
+func (n *Node) applyConfig(raw []byte, revision model.Revision, source string) bool {
+	current := n.config.Current()
+	switch {
+	case current == nil:
+	case current.Revision == revision && revision.Epoch > 0:
+		return false
+	case bytes.Equal(current.Raw, raw):
+		if current.Revision.Before(revision) {
+			n.config.SetRevision(current, revision)
 		}
 		return false
 	}
@@ -332,7 +339,7 @@
 	}
 	before := n.Version()
 	if !n.config.Publish(s) {
-		n.skipConfig(raw, revision, source)
+		n.skipConfig(s, source)
 		return false
 	}
 	now := time.Now()
@@ -346,12 +353,22 @@
 	return true
 }
 
+// Reasons for which a configuration does not replace the one in force.
+const (
+	skipOlder       = "older-version"
+	skipSameVersion = "same-version"
+)
+
 // skipConfig logs and counts a configuration that does not replace the one in force.
-func (n *Node) skipConfig(raw []byte, revision uint64, source string) {
-	n.observer.configsSkipped.Inc()
+func (n *Node) skipConfig(s *meshconf.Snapshot, source string) {
 	current := n.config.Current()
-	n.log.Emit(event.ConfigSkipped, event.F("revision", revision), event.F("bytes", len(raw)), event.F("source", source),
-		event.F("inForce", current.Version), event.F("inForceRevision", current.Revision), event.F("epoch", n.storeEpoch.Load()))
+	reason := skipOlder
+	if s.Version == current.Version {
+		reason = skipSameVersion
+	}
+	n.observer.configsSkipped.WithLabelValues(reason).Inc()
+	n.log.Emit(event.ConfigSkipped, event.F("version", s.Version), event.F("revision", s.Revision), event.F("reason", reason), event.F("source", source),
+		event.F("inForce", current.Version), event.F("inForceRevision", current.Revision))
 }
 
 // maxUnknownKindLines bounds the log lines about unknown kinds of one version; the counter
@@ -382,8 +399,8 @@
 }
 
 // refuseConfig records that a configuration was rejected.
-func (n *Node) refuseConfig(revision uint64, source string, err error) {
-	n.refused.Store(&handover.Refusal{Time: time.Now().UTC(), Revision: revision, Source: source, Error: err.Error()})
+func (n *Node) refuseConfig(revision model.Revision, source string, err error) {
+	n.refused.Store(&handover.Refusal{Time: time.Now().UTC(), Revision: revision.Number, Epoch: revision.Epoch, Source: source, Error: err.Error()})
 	n.log.Emit(event.ConfigRefused, event.F("revision", revision), event.F("source", source), event.F("error", err))
 }
 
--- a/pkg/host/lead.go
+++ b/pkg/host/lead.go
@@ -10,6 +10,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
 	"github.com/tarragondrum/tarragondrum/pkg/hostconf"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 const (
@@ -73,10 +74,10 @@
 	storeAnsweredAt time.Time
 	// reading is set while this node reads the store.
 	reading bool
-	// revision is where the next watch starts, and readRevision the one at which the
-	// configuration was last read.
-	revision     uint64
-	readRevision uint64
+	// watchRevision is where the next watch starts, and readRevision the one at which the
+	// configuration was last read. Both are zero before the first read.
+	watchRevision model.Revision
+	readRevision  model.Revision
 	// rostersReadAt is when the rosters were last read.
 	rostersReadAt time.Time
 	// storeLost is set if the last call to the store failed.
--- a/pkg/host/lead_reader.go
+++ b/pkg/host/lead_reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/platform"
 )
 
@@ -33,7 +34,7 @@
 	l.mu.Lock()
 	read := l.readRevision
 	l.mu.Unlock()
-	if read > 0 {
+	if !read.IsZero() {
 		revision, err := l.node.store().Revision(ctx)
 		if err != nil || revision == read {
 			return err
@@ -43,16 +44,23 @@
 	if err != nil {
 		return err
 	}
-	l.node.log.Emit(event.ConfigRead, event.F("storeRevision", revision), event.F("before", read), event.F("revision", d.Revision),
-		event.F("epoch", l.node.storeEpoch.Load()))
+	l.node.log.Emit(event.ConfigRead, event.F("storeRevision", revision), event.F("before", read), event.F("revision", d.Revision))
 	l.mu.Lock()
 	l.readRevision = revision
-	l.revision = max(l.revision, revision)
+	l.advanceWatch(revision)
 	l.mu.Unlock()
 	l.applyDocument(d)
 	return nil
 }
 
+// advanceWatch sets where the next watch starts, unless it starts later already. The caller
+// holds mu.
+func (l *lead) advanceWatch(revision model.Revision) {
+	if l.watchRevision.Before(revision) {
+		l.watchRevision = revision
+	}
+}
+
 // applyDocument applies a configuration and announces it if it is newer.
 func (l *lead) applyDocument(d platform.ConfigDocument) {
 	if len(d.Raw) > 0 && l.node.applyConfig(d.Raw, d.Revision, "store") {
@@ -65,20 +73,20 @@
 func (l *lead) watchConfig(ctx context.Context) {
 	l.repeatWhileReachable(ctx, watchPause, func() error {
 		l.mu.Lock()
-		revision := l.revision
+		revision := l.watchRevision
 		l.mu.Unlock()
-		if revision == 0 {
-			return nil // not read yet
+		if revision.IsZero() || revision.Epoch < l.node.storeEpoch.Load() {
+			return nil // not read yet, or not since the store was restored
 		}
 		d, next, err := l.node.store().WatchConfig(ctx, revision, watchWait)
 		if err != nil {
 			if ctx.Err() == nil {
-				l.node.log.Emit(event.WatchFailed, event.F("revision", revision), event.F("epoch", l.node.storeEpoch.Load()), event.F("error", err))
+				l.node.log.Emit(event.WatchFailed, event.F("revision", revision), event.F("error", err))
 			}
 			return err
 		}
 		l.mu.Lock()
-		l.revision = max(l.revision, next)
+		l.advanceWatch(next)
 		l.mu.Unlock()
 		l.applyDocument(d)
 		return nil
@@ -87,10 +95,10 @@
 
 // skipOwnWrite advances the read revision past a write of this node, so that the write is
 // not taken for a change of the configuration.
-func (l *lead) skipOwnWrite(revision uint64) {
+func (l *lead) skipOwnWrite(revision model.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision == l.readRevision+1 {
+	if revision.Epoch == l.readRevision.Epoch && revision.Number == l.readRevision.Number+1 {
 		l.readRevision = revision
 	}
 }
--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -6,6 +6,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/pack"
 	"github.com/tarragondrum/tarragondrum/pkg/suspect"
 )
@@ -82,17 +83,18 @@
 	}
 	p.handleTree(node, n, reply)
 	if len(n.Config) > 0 {
+		revision := model.Revision{Epoch: n.ConfigEpoch, Number: n.ConfigRevision}
 		raw, err := pack.Decompress(n.Config)
 		if err != nil {
-			p.node.refuseConfig(n.ConfigRevision, "peer "+node, err)
+			p.node.refuseConfig(revision, "peer "+node, err)
 			return
 		}
-		p.node.applyConfig(raw, n.ConfigRevision, "peer "+node)
+		p.node.applyConfig(raw, revision, "peer "+node)
 		return
 	}
 	if n.WantConfigAfter != nil {
 		if s := p.node.config.Current(); s != nil && s.Version > *n.WantConfigAfter {
-			reply(&link.StateUpdate{ConfigVersion: s.Version, ConfigRevision: s.Revision, Config: p.compressedConfig(s)})
+			reply(&link.StateUpdate{ConfigVersion: s.Version, ConfigRevision: s.Revision.Number, ConfigEpoch: s.Revision.Epoch, Config: s.Compressed()})
 		}
 	}
 	switch {
--- a/pkg/host/observe.go
+++ b/pkg/host/observe.go
@@ -51,7 +51,7 @@
 	// unknownKinds counts the routes of each version whose kind is not known.
 	unknownKinds prometheus.Counter
 	// configsSkipped counts the configurations that did not replace the one in force.
-	configsSkipped prometheus.Counter
+	configsSkipped *prometheus.CounterVec
 }
 
 func newObserver(r *metric.Registry, log *event.Log) *observer {
@@ -68,7 +68,7 @@
 		seconds:        metric.Histogram(r, "request_seconds", "Time from a request's arrival to its final answer.", latencyBuckets, "route"),
 		linkWaits:      metric.Histogram(r, "link_wait_seconds", "Time that short messages to other nodes wait to be written.", linkWaitBuckets).WithLabelValues(),
 		unknownKinds:   metric.Counter(r, "unknown_route_kinds_total", "Routes of a kind that is not known, in all versions put in force.").WithLabelValues(),
-		configsSkipped: metric.Counter(r, "configs_skipped_total", "Configurations from the store and from peers that did not replace the one in force.").WithLabelValues(),
+		configsSkipped: metric.Counter(r, "configs_skipped_total", "Configurations from the store and from peers that did not replace the one in force, by reason.", "reason"),
 		waits:          metric.Histogram(r, "intake_wait_seconds", "Time that calls wait for a slot of the upstream.", latencyBuckets),
 	}
 }
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -52,9 +52,6 @@
 	pulledAt time.Time
 	// awaitedVersion is the newest version that another data centre has announced.
 	awaitedVersion uint64
-	// compressed is the configuration of compressedRevision as it is sent to peers.
-	compressed         []byte
-	compressedRevision uint64
 }
 
 func newPeers(n *Node) *peers {
--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -10,6 +10,7 @@
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/platform"
 )
 
@@ -42,7 +43,7 @@
 
 // storedRoster is the last known state of one roster in the store.
 type storedRoster struct {
-	revision uint64
+	revision model.Revision
 	hosts    map[string]fleet.Version
 }
 
@@ -77,8 +78,8 @@
 	own := r.node.record.current()
 	roster, err := r.node.store().Roster(ctx, own.DataCentre)
 	if errors.Is(err, platform.ErrNotFound) {
-		roster, err = r.node.store().SaveRoster(ctx, own.DataCentre, []fleet.Host{own}, 0)
-		if errors.Is(err, platform.ErrConflict) && roster.Revision > 0 {
+		roster, err = r.node.store().SaveRoster(ctx, own.DataCentre, []fleet.Host{own}, model.Revision{})
+		if errors.Is(err, platform.ErrConflict) && roster.Revision.Number > 0 {
 			err = nil
 		}
 	}
@@ -138,16 +139,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.stored[roster.DataCentre]
-	return before != nil && roster.Revision < before.revision
+	return before != nil && roster.Revision.Before(before.revision)
 }
 
 // recordStored records the state of the store, unless a newer one is known, and returns the
-// hosts that were removed since the last one.
+// hosts that were removed since the last one. Hosts that are missing after the store was
+// restored were not removed: the older copy does not have them.
 func (r *rosters) recordStored(roster *platform.Roster) (gone []fleet.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.stored[roster.DataCentre]
-	if before != nil && roster.Revision < before.revision {
+	if before != nil && roster.Revision.Before(before.revision) {
 		return nil
 	}
 	now := &storedRoster{revision: roster.Revision, hosts: make(map[string]fleet.Version, len(roster.Hosts))}
@@ -155,7 +157,7 @@
 		now.hosts[roster.Hosts[i].Node] = roster.Hosts[i].Version()
 	}
 	r.stored[roster.DataCentre] = now
-	if before == nil || before.revision == now.revision {
+	if before == nil || before.revision == now.revision || before.revision.Epoch != now.revision.Epoch {
 		return nil
 	}
 	for node, v := range before.hosts {
@@ -169,7 +171,7 @@
 // draft is a roster to be written.
 type draft struct {
 	dataCentre string
-	revision   uint64
+	revision   model.Revision
 	hosts      []fleet.Host
 	// awaited lists the records of upstreams that leave or are gone: their hosts wait until
 	// the store has them.
@@ -247,7 +249,7 @@
 			r.node.peers.broadcast(&link.StateUpdate{Persisted: d.awaited})
 		}
 		return nil
-	case errors.Is(err, platform.ErrConflict) && saved.Revision > 0:
+	case errors.Is(err, platform.ErrConflict) && saved.Revision.Number > 0:
 		r.mergeRoster(&saved) // it may be the result of an earlier write whose answer was lost
 		r.node.record.noteSavedHosts(saved.Hosts)
 		return nil
--- a/pkg/host/stop_test.go
+++ b/pkg/host/stop_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // A stop that callers do not leave accepts requests only as long as the slowest route can
@@ -26,7 +27,7 @@
 				{Name: "short", Host: "h", PathPrefix: "/a/", Parts: []meshconf.Part{{Service: "s", Weight: 1}}, MaxAttempts: 1, Timeout: time.Second},
 				{Name: "long", Host: "h", PathPrefix: "/b/", Parts: []meshconf.Part{{Service: "s", Weight: 1}}, MaxAttempts: 1, Timeout: tt.timeout},
 			},
-		}, uint64(version+1), nil)
+		}, model.Revision{Number: uint64(version + 1)}, nil)
 		is.NoErr(err)
 		is.True(n.config.Publish(s))
 		is.Equal(n.finishTime(), tt.want)
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -175,8 +175,8 @@
 	Hosts []fleet.Host `cbor:"1,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that the sender uses.
 	ConfigVersion uint64 `cbor:"2,keyasint,omitempty"`
-	// ConfigRevision and Config are a store revision and the compressed configuration. They
-	// are set only in response to WantConfigAfter.
+	// ConfigRevision and Config are the number of a store revision and the compressed
+	// configuration. They are set only in response to WantConfigAfter.
 	ConfigRevision uint64 `cbor:"3,keyasint,omitempty"`
 	Config         []byte `cbor:"4,keyasint,omitempty"`
 	// WantConfigAfter requests the configuration if the receiver has a newer version than this.
@@ -201,6 +201,8 @@
 	// WantHosts requests the whole host table. HostTable is a host table as PackHosts encodes it.
 	WantHosts bool   `cbor:"14,keyasint,omitempty"`
 	HostTable []byte `cbor:"15,keyasint,omitempty"`
+	// ConfigEpoch is the epoch of ConfigRevision, 0 from a node that does not know epochs.
+	ConfigEpoch uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // PackHosts encodes and compresses a host table for StateUpdate.HostTable.
--- a/pkg/meshconf/meshconf.go
+++ b/pkg/meshconf/meshconf.go
@@ -12,8 +12,12 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/pkg/pack"
 )
 
 // ErrInvalid is returned for a configuration that cannot be put in force. The one in force
@@ -103,9 +107,11 @@
 type Snapshot struct {
 	Config
 	// Revision is the revision of the configuration in the store.
-	Revision uint64
+	Revision model.Revision
 	// Raw is the document that the snapshot was decoded from. Peers receive it unchanged.
 	Raw []byte
+	// Compressed returns Raw as it is sent to peers.
+	Compressed func() []byte
 	// Record is the record of who accepted the configuration. It may be empty.
 	Record   []byte
 	services map[string]*Service
@@ -114,8 +120,9 @@
 
 // Compile validates a configuration and builds its snapshot. It returns an error that wraps
 // ErrInvalid if the configuration is not valid.
-func Compile(c Config, revision uint64, raw []byte) (*Snapshot, error) {
-	s := &Snapshot{Config: c, Revision: revision, Raw: raw, services: make(map[string]*Service), hosts: make(map[string][]*Route)}
+func Compile(c Config, revision model.Revision, raw []byte) (*Snapshot, error) {
+	compressed := sync.OnceValue(func() []byte { return pack.Compress(raw) })
+	s := &Snapshot{Config: c, Revision: revision, Raw: raw, Compressed: compressed, services: make(map[string]*Service), hosts: make(map[string][]*Route)}
 	for i := range s.Services {
 		s.services[s.Services[i].Name] = &s.Services[i]
 	}
@@ -206,3 +213,11 @@
 		}
 	}
 }
+
+// SetRevision records that the store has the snapshot in force at another revision, unless
+// another one is in force by now.
+func (h *Holder) SetRevision(s *Snapshot, revision model.Revision) {
+	moved := *s
+	moved.Revision = revision
+	h.current.CompareAndSwap(s, &moved)
+}
--- a/pkg/meshconf/meshconf_test.go
+++ b/pkg/meshconf/meshconf_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragondrum/tarragondrum/pkg/meshconf"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 func route(name, prefix string) meshconf.Route {
@@ -21,7 +22,7 @@
 	s, err := meshconf.Compile(meshconf.Config{
 		Services: []meshconf.Service{{Name: "s"}},
 		Routes:   []meshconf.Route{route("all", "/"), route("long", "/a/b/"), route("short", "/a/")},
-	}, 1, nil)
+	}, model.Revision{}, nil)
 	is.NoErr(err)
 	for path, want := range map[string]string{"/": "all", "/x": "all", "/a/": "short", "/a/c": "short", "/a/b/c": "long", "/a/bc": "short", "/a": "all"} {
 		r, ok := s.Match("A.Example", path)
@@ -36,7 +37,7 @@
 		var h meshconf.Holder
 		newest := uint64(0)
 		for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 9)).Draw(t, "versions") {
-			s, err := meshconf.Compile(meshconf.Config{Version: v}, v, nil)
+			s, err := meshconf.Compile(meshconf.Config{Version: v}, model.Revision{Number: v}, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -50,3 +51,25 @@
 		}
 	})
 }
+
+// A later revision of the snapshot in force changes nothing else, and does not bring it back
+// once another one is in force.
+func TestSetRevision(t *testing.T) {
+	is := is.New(t)
+	var h meshconf.Holder
+	compile := func(version uint64) *meshconf.Snapshot {
+		s, err := meshconf.Compile(meshconf.Config{Version: version}, model.Revision{Epoch: 1, Number: version}, []byte("document"))
+		is.NoErr(err)
+		return s
+	}
+	first := compile(1)
+	is.True(h.Publish(first))
+	h.SetRevision(first, model.Revision{Epoch: 2, Number: 1})
+	is.Equal(h.Current().Revision, model.Revision{Epoch: 2, Number: 1})
+	is.Equal(h.Current().Version, uint64(1))
+	is.Equal(h.Current().Compressed(), first.Compressed())
+	is.Equal(first.Revision, model.Revision{Epoch: 1, Number: 1}) // requests may still use it
+	is.True(h.Publish(compile(2)))
+	h.SetRevision(first, model.Revision{Epoch: 3, Number: 1})
+	is.Equal(h.Current().Version, uint64(2))
+}
