Write again what a restored store has lost

What callers saw: nothing yet. An acknowledged leaving and the records of hosts that had joined stayed out of the store after it came back from an older copy, until a record changed; a node that restarted then would have sent requests to the upstream again.

Cause: what was once saved was taken to be in the store for good. The lead compared its table with its last knowledge of the rosters, ignored rosters with lower revisions, and a roster was written only after a change of the table.

Change: when the epoch rises, which announcements of leads tell all nodes, a node discards what it knows to be in the store. The lead reads all rosters at once, not from a stale copy, and compares again after each change of what it knows of the store.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -238,22 +238,21 @@
 	return platform.NewStore(address, platform.StoreHooks{Called: n.observer.storeCall, EpochSeen: n.observeEpoch})
 }
 
-// observeEpoch records the epoch of the store, and reports that the store was restored if an
-// earlier one was known.
+// observeEpoch records the epoch of the store. If an earlier one was known, the store was
+// restored from an older copy, and what this node knows to be in the store may be lost.
 func (n *Node) observeEpoch(epoch uint64) {
-	for {
-		known := n.storeEpoch.Load()
-		if epoch <= known {
-			return
-		}
-		if !n.storeEpoch.CompareAndSwap(known, epoch) {
-			continue
-		}
-		if known > 0 {
-			n.log.Emit(event.StoreRestored, event.F("before", known), event.F("epoch", epoch))
-		}
+	known := n.storeEpoch.Load()
+	for epoch > known && !n.storeEpoch.CompareAndSwap(known, epoch) {
+		known = n.storeEpoch.Load()
+	}
+	if epoch <= known || known == 0 {
 		return
 	}
+	n.log.Emit(event.StoreRestored, event.F("before", known), event.F("epoch", epoch))
+	n.lead.noteRestored()
+	n.rosters.forgetStored(epoch)
+	n.peers.tree.forgetSaved()
+	n.record.forgetSaved()
 }
 
 // staleAnswer is the answer to a call that may have run on an earlier process.
--- a/pkg/host/lead.go
+++ b/pkg/host/lead.go
@@ -78,8 +78,10 @@
 	// configuration was last read. Both are zero before the first read.
 	watchRevision model.Revision
 	readRevision  model.Revision
-	// rostersReadAt is when the rosters were last read.
+	// rostersReadAt is when the rosters were last read, and restoredAt when this node learned
+	// that the store was restored. Both are zero if that did not happen.
 	rostersReadAt time.Time
+	restoredAt    time.Time
 	// storeLost is set if the last call to the store failed.
 	storeLost bool
 }
@@ -224,6 +226,13 @@
 	l.node.log.Emit(event.LeadEnded)
 }
 
+// noteRestored records that the store was restored from an older copy.
+func (l *lead) noteRestored() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restoredAt = time.Now()
+}
+
 // leads reports whether this node reads the store.
 func (l *lead) leads() bool {
 	l.mu.Lock()
@@ -252,7 +261,7 @@
 		return
 	}
 	digest := l.node.table.Digest()
-	l.node.peers.broadcast(&link.StateUpdate{LeadRank: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version(), HostsDigest: &digest})
+	l.node.peers.broadcast(&link.StateUpdate{LeadRank: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version(), HostsDigest: &digest, StoreEpoch: l.node.storeEpoch.Load()})
 }
 
 // recordOutcome records the result of a call to the store and logs when the store is lost
--- a/pkg/host/lead_reader.go
+++ b/pkg/host/lead_reader.go
@@ -17,6 +17,9 @@
 	l.repeat(ctx, readInterval, longest, func() error {
 		err := l.readIfChanged(ctx)
 		l.recordOutcome(ctx, err)
+		if err == nil && l.node.rosters.mustReadAll() {
+			err = l.readAllRosters(ctx, false)
+		}
 		if err != nil {
 			return err
 		}
@@ -104,25 +107,31 @@
 }
 
 // readRosters reads the rosters at every interval. The answer may be some seconds old if
-// this node has read them recently, since peers send changes sooner.
+// this node has read them recently, since peers send changes sooner, and if it cannot be
+// from before the store was restored. After a restore, readConfig reads them at once.
 func (l *lead) readRosters(ctx context.Context) {
 	l.repeatWhileReachable(ctx, rostersInterval, func() error {
 		l.mu.Lock()
-		since := time.Since(l.rostersReadAt)
+		since, sinceRestored := time.Since(l.rostersReadAt), time.Since(l.restoredAt)
 		l.mu.Unlock()
-		if since < rostersInterval/2 {
+		if since < rostersInterval/2 || l.node.rosters.mustReadAll() {
 			return nil
 		}
-		if err := l.node.rosters.readAll(ctx, since < 2*rostersInterval); err != nil {
-			return err
-		}
-		l.mu.Lock()
-		l.rostersReadAt = time.Now()
-		l.mu.Unlock()
-		return nil
+		return l.readAllRosters(ctx, since < 2*rostersInterval && sinceRestored > 2*rostersInterval)
 	})
 }
 
+// readAllRosters reads all rosters and records when.
+func (l *lead) readAllRosters(ctx context.Context, mayBeStale bool) error {
+	if err := l.node.rosters.readAll(ctx, mayBeStale); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.rostersReadAt = time.Now()
+	l.mu.Unlock()
+	return nil
+}
+
 // repeat calls step at every interval, with exponential backoff while it fails.
 func (l *lead) repeat(ctx context.Context, interval time.Duration, longest func() time.Duration, step func() error) {
 	pause := retryMin
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -86,10 +86,7 @@
 	r.node.intake.SetUpstream(h.Upstream)
 	r.node.peers.broadcastHost(h)
 	r.signal()
-	select {
-	case r.dirty <- struct{}{}:
-	default:
-	}
+	r.markDirty()
 }
 
 // signal wakes the goroutines that wait for a change. The caller holds mu.
@@ -214,6 +211,23 @@
 	}
 }
 
+// forgetSaved discards what is known to be in the store, so that the record is written again.
+func (r *record) forgetSaved() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved = fleet.Version{}
+	r.signal()
+	r.markDirty()
+}
+
+// markDirty wakes saveLoop.
+func (r *record) markDirty() {
+	select {
+	case r.dirty <- struct{}{}:
+	default:
+	}
+}
+
 // learnFromStore merges the store's record of this host. A former process may have known
 // more of the upstream than this one.
 func (r *record) learnFromStore(h *fleet.Host) {
--- a/pkg/host/restored_store_test.go
+++ b/pkg/host/restored_store_test.go
@@ -59,6 +59,47 @@
 	}
 }
 
+// A node that starts while the store has only an older version learns the version in force
+// from its peers, and keeps it.
+func TestNodeStartedAfterRestoreHasOlderVersion(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	older := c.store.Copy()
+	c.putConfig(3, "ledger")
+	c.eventuallyVersion(3)
+	c.store.Restore(older)
+	for _, m := range []*member{c.hosts[0], c.hosts[3]} { // the lead, and a node that does not read the store
+		m.Kill()
+		c.start(m)
+		c.eventuallyVersion(3)
+	}
+	time.Sleep(3 * time.Second) // several reads of the older version
+	for _, m := range c.hosts {
+		is.Equal(m.Node.Version(), uint64(3))
+	}
+}
+
+// An upstream's leaving that is acknowledged just after a restore is saved, although its node
+// knows revisions of the earlier epoch only.
+func TestLeavingAfterRestoreIsSaved(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	c.awaitStored(fleet.StateReady)
+	older := c.store.Copy()
+	early, late := c.hosts[1], c.hosts[2]
+	leave := func(m *member) {
+		m.StopHeartbeats()
+		is.NoErr(m.Upstream.Beat(m.AnnounceAddress(), "draining"))
+	}
+	leave(early)
+	c.eventually("the leaving is stored", func() bool { return c.stored(early.Name) == fleet.StateLeaving })
+	c.store.Restore(older)
+	leave(late)
+	c.eventually("both leavings are stored", func() bool {
+		return c.stored(early.Name) == fleet.StateLeaving && c.stored(late.Name) == fleet.StateLeaving
+	})
+}
+
 // awaitStored waits until the store has every host with a state of its upstream.
 func (c *cluster) awaitStored(state fleet.State) {
 	c.t.Helper()
--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/event"
@@ -35,6 +37,11 @@
 	node *Node
 	// joined is closed when the store has returned the roster of the own data centre.
 	joined once
+	// restoredEpoch is the epoch that the store began when it was last restored, and
+	// readEpoch the value of restoredEpoch when all rosters were last read.
+	restoredEpoch, readEpoch atomic.Uint64
+	// changes counts the changes of stored.
+	changes atomic.Uint64
 
 	mu sync.Mutex
 	// stored is the last known state of the store, by data centre.
@@ -89,8 +96,22 @@
 	return err
 }
 
+// forgetStored discards what is known of the rosters in the store, which was restored from an
+// older copy and began an epoch.
+func (r *rosters) forgetStored(epoch uint64) {
+	r.mu.Lock()
+	clear(r.stored)
+	r.mu.Unlock()
+	r.restoredEpoch.Store(epoch)
+	r.changes.Add(1)
+}
+
+// mustReadAll reports whether the rosters have not been read since the store was restored.
+func (r *rosters) mustReadAll() bool { return r.readEpoch.Load() < r.restoredEpoch.Load() }
+
 // readAll reads the rosters of all data centres.
 func (r *rosters) readAll(ctx context.Context, mayBeStale bool) error {
+	epoch := r.restoredEpoch.Load()
 	all, err := r.node.store().Rosters(ctx, mayBeStale)
 	if err != nil {
 		return err
@@ -99,6 +120,7 @@
 		r.mergeRoster(&all[i])
 	}
 	if !mayBeStale {
+		r.readEpoch.Store(epoch)
 		r.node.record.learned.done()
 	}
 	return nil
@@ -157,6 +179,7 @@
 		now.hosts[roster.Hosts[i].Node] = roster.Hosts[i].Version()
 	}
 	r.stored[roster.DataCentre] = now
+	r.changes.Add(1)
 	if before == nil || before.revision == now.revision || before.revision.Epoch != now.revision.Epoch {
 		return nil
 	}
@@ -235,7 +258,9 @@
 }
 
 // write saves a roster and tells the hosts that wait for it. After a conflict it merges the
-// stored roster, and the next draft starts from that.
+// stored roster, and the next draft starts from that. A roster that is not in the store, or
+// whose revision is of an earlier epoch, is created by the next draft, or conflicts with the
+// one in the store.
 func (r *rosters) write(ctx context.Context, d *draft) error {
 	saved, err := r.node.store().SaveRoster(ctx, d.dataCentre, d.hosts, d.revision)
 	switch {
@@ -253,7 +278,7 @@
 		r.mergeRoster(&saved) // it may be the result of an earlier write whose answer was lost
 		r.node.record.noteSavedHosts(saved.Hosts)
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrRestored):
 		r.mu.Lock()
 		delete(r.stored, d.dataCentre)
 		r.mu.Unlock()
@@ -263,37 +288,46 @@
 	return err
 }
 
+// generation identifies a state of the table of hosts and of what is known of the store.
+type generation struct{ table, stored uint64 }
+
+func (r *rosters) generation() generation {
+	return generation{table: r.node.table.Generation(), stored: r.changes.Load()}
+}
+
 // writeLoop writes the rosters that differ from the store while this node leads.
 func (r *rosters) writeLoop(ctx context.Context) {
 	var wroteAt time.Time
-	generation := uint64(0)
+	var equal generation // in which no roster differed
 	for ctx.Err() == nil {
 		sleep(ctx, urgentWriteInterval)
-		now := r.node.table.Generation()
-		if now == generation || !r.node.lead.reachedStoreRecently(time.Now()) {
+		now := r.generation()
+		if now == equal || r.mustReadAll() || !r.node.lead.reachedStoreRecently(time.Now()) {
 			continue
 		}
 		drafts := r.drafts()
-		isUrgent := false
-		for i := range drafts {
-			isUrgent = isUrgent || len(drafts[i].awaited) > 0
+		if len(drafts) == 0 {
+			equal = now
+			continue
 		}
+		isUrgent := slices.ContainsFunc(drafts, func(d draft) bool { return len(d.awaited) > 0 })
 		if !isUrgent && time.Since(wroteAt) < writeInterval {
 			continue
 		}
-		failed := false
 		for i := range drafts {
-			failed = r.write(ctx, &drafts[i]) != nil || failed
+			_ = r.write(ctx, &drafts[i]) // it has logged the error; the roster still differs
 		}
 		wroteAt = time.Now()
-		if !failed && len(r.drafts()) == 0 {
-			generation = now
-		}
 	}
 }
 
 // writeOwn writes the roster of this host's data centre where the lead has not done so.
 func (r *rosters) writeOwn(ctx context.Context) error {
+	if r.mustReadAll() {
+		if err := r.tryJoin(ctx); err != nil {
+			return err
+		}
+	}
 	centre := r.node.record.current().DataCentre
 	for _, d := range r.drafts() {
 		if d.dataCentre == centre {
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -258,7 +258,8 @@
 // table digest.
 func (t *tree) announcementMessage(rank string, run int64, number uint64) *link.StateUpdate {
 	digest := t.node.table.Digest()
-	return &link.StateUpdate{LeadRank: rank, LeadRun: run, LeadSequence: number, ConfigVersion: t.node.Version(), HostsDigest: &digest}
+	return &link.StateUpdate{LeadRank: rank, LeadRun: run, LeadSequence: number, ConfigVersion: t.node.Version(), HostsDigest: &digest,
+		StoreEpoch: t.node.storeEpoch.Load()}
 }
 
 // forwardIfNew reports whether an announcement is newer than the last one of its lead, and
@@ -279,6 +280,13 @@
 	return true
 }
 
+// forgetSaved discards what is known to be in the store.
+func (t *tree) forgetSaved() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.savedVersions)
+}
+
 // recordSaved records the versions that the store has and returns those that are newer than
 // the known ones.
 func (t *tree) recordSaved(versions []fleet.Version) []fleet.Version {
