Sign off versions that nodes of a restored store accept

What operators saw: after a restore, a sign-off said that version 2 was in force, while nodes had another version 2 and ignored the new one.

Cause: the next version followed the one in the store alone, which a restore takes back.

Evidence: TestSignOffAfterRestoreIsIgnoredByNodes; before, sign-off knew no node and gave version 2 a second time.

--- a/pkg/cli/ask.go
+++ b/pkg/cli/ask.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragondrum/tarragondrum/pkg/handover"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
 )
 
 // requestTimeout bounds all requests to the nodes of one command.
@@ -30,6 +31,21 @@
 	return env.exit(err)
 }
 
+// versionTimeout bounds the request of version, without which a command can go on.
+const versionTimeout = 2 * time.Second
+
+// version returns the version that the node has in force.
+func (f nodeFlags) version(ctx context.Context) (model.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	client, err := handover.NewClient()
+	if err != nil {
+		return 0, err
+	}
+	report, err := client.Report(ctx, f.Node)
+	return report.Version, err
+}
+
 // printJSON writes v as indented JSON.
 func (e Env) printJSON(v any) error {
 	enc := json.NewEncoder(e.Stdout)
--- a/pkg/cli/bundle.go
+++ b/pkg/cli/bundle.go
@@ -139,6 +139,7 @@
 		usage      *usageError
 		faults     *faultsError
 		conflict   *signoff.ConflictError
+		lost       *signoff.LostVersionError
 		unknown    *signoff.UnknownOutcomeError
 		incomplete *incompleteError
 		pending    *pendingError
@@ -151,7 +152,7 @@
 		return ExitUsage
 	case errors.As(err, &usage):
 		return e.fail(ExitUsage, err)
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.As(err, &lost):
 		return e.fail(ExitConflict, err)
 	case errors.As(err, &unknown), errors.As(err, &pending):
 		return e.fail(ExitUnknown, err)
--- a/pkg/cli/bundle_test.go
+++ b/pkg/cli/bundle_test.go
@@ -230,6 +230,36 @@
 	h.mustFail(cli.ExitFailed, "handover", "--node", "http://127.0.0.1:1")
 }
 
+// After the store was restored from an older copy, a sign-off does not reuse the number of a
+// version that nodes have in force, which they would ignore.
+func TestSignOffAfterRestoreIsIgnoredByNodes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.mustRun(h.signOff(h.prepare(), "0", "ioana")...)
+	older := h.store.Copy()
+	h.writeBundle("second")
+	h.mustRun(h.signOff(h.prepare(), "1", "mihai")...)
+	report := &handover.Report{Node: "cluj-1-a", Version: 2}
+	url := startNode(t, nil, report)
+	is.True(!strings.Contains(h.mustRun("bundle", "status", "--node", url), "lost"))
+	h.store.Restore(older)
+
+	is.True(strings.Contains(h.mustRun("bundle", "status", "--node", url), "nodes have version 2 in force, which the store has lost"))
+	h.writeBundle("third")
+	third := h.prepare()
+	stderr := h.mustFail(cli.ExitConflict, append(h.signOff(third, "1", "mihai"), "--node", url)...)
+	is.True(strings.Contains(stderr, "expected version 1, but nodes have version 2 in force and the store has version 1"))
+	h.mustFail(cli.ExitConflict, append(h.signOff(third, "3", "mihai"), "--node", url)...)
+	is.True(strings.Contains(h.mustRun(append(h.signOff(third, "2", "mihai"), "--node", url)...), "version 3 is in force"))
+	is.True(strings.Contains(h.mustRun("bundle", "diff", "v1", "in-force"), "+ service third"))
+	is.Equal(strings.Count(h.mustRun("bundle", "history"), "\n"), 3) // versions 3 and 1, after the title
+
+	report.Version = 3
+	h.writeBundle("fourth")
+	h.mustRun(append(h.signOff(h.prepare(), "3", "ioana"), "--node", url)...)
+	is.True(strings.Contains(h.mustRun("bundle", "status", "--node", url), "version 4 is in force"))
+}
+
 func TestInvalidUsageChangesNothing(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t)
--- a/pkg/cli/bundlesignoff.go
+++ b/pkg/cli/bundlesignoff.go
@@ -17,6 +17,7 @@
 // as the next version.
 type bundleSignOffCmd struct {
 	storeFlags
+	nodeFlags
 	Bundle        string         `arg:"positional,required" help:"id of the bundle or its first characters; \"in-force\" with --again"`
 	ExpectVersion *model.Version `arg:"--expect-version" placeholder:"N" help:"version that you saw in force, 0 before the first one; required"`
 	Key           string         `arg:"--key" placeholder:"FILE" help:"your private key; required"`
@@ -68,10 +69,15 @@
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
+	onNode, err := c.version(ctx)
+	if err != nil {
+		warn(fmt.Errorf("whether nodes have a newer version than the store is not checked: %w", err))
+	}
 	a, err := signoff.Accept(ctx, s.store, signoff.Request{
 		Bundle:          id,
 		AllowInForce:    c.Again,
 		ExpectedVersion: *c.ExpectVersion,
+		NodeVersion:     onNode,
 		Acceptor:        c.As,
 		KeyID:           key.KeyID,
 		Key:             key.private(),
--- a/pkg/cli/bundlestatus.go
+++ b/pkg/cli/bundlestatus.go
@@ -45,6 +45,9 @@
 	Source string `json:"source"`
 	// Confirmed is the last time at which the store answered the source.
 	Confirmed time.Time `json:"confirmed"`
+	// NodeVersion is the version that the node has in force if it is newer than the one in the
+	// store, which was then restored from an older copy; otherwise 0.
+	NodeVersion model.Version `json:"nodeVersion,omitempty"`
 	// Waiting lists the bundles that wait for a sign-off. It is empty if the source
 	// is a node, since nodes do not know them.
 	Waiting []bundlestore.Entry `json:"waiting"`
@@ -55,6 +58,8 @@
 		if c.Operation != "" {
 			return c.reportOperation(ctx, env, s)
 		}
+		// The node is asked first: what it has then, the store has acknowledged before.
+		onNode, nodeErr := c.version(ctx)
 		report, err := s.status(ctx)
 		if errors.Is(err, objects.ErrUnavailable) {
 			report, err = c.statusFromNode(ctx, s, err)
@@ -62,6 +67,9 @@
 		if err != nil {
 			return err
 		}
+		if nodeErr == nil && onNode > report.Acceptance.Version {
+			report.NodeVersion = onNode
+		}
 		if c.JSON {
 			return env.printJSON(report)
 		}
@@ -136,6 +144,10 @@
 		e.printf("  accepted by %s at %s, prepared by %s, signature %s\n", a.Acceptor, a.Time.Format(time.RFC3339), a.Preparer, r.Signature)
 		e.printf("  reason: %s\n", orNone(a.Reason))
 	}
+	if r.NodeVersion > 0 {
+		e.printf("nodes have version %d in force, which the store has lost: it was restored from an older copy; sign off again with --expect-version %d\n",
+			r.NodeVersion, r.NodeVersion)
+	}
 	for _, w := range r.Waiting {
 		e.printf("waiting: bundle %.*s, prepared by %s at %s against version %d, %s\n  reason: %s\n",
 			shortIDLength, w.Bundle, w.Meta.Preparer, w.Meta.Time.Format(time.RFC3339), w.Meta.ParentVersion, w.State, orNone(w.Meta.Reason))
--- a/pkg/handover/handover.go
+++ b/pkg/handover/handover.go
@@ -59,6 +59,10 @@
 	// means never.
 	Lead      string    `json:"lead"`
 	StoreTime time.Time `json:"storeTime"`
+	// Restored is when the node learned that the store was restored from an older copy, which
+	// may lack what was signed off since. It is zero if that has not happened since the node
+	// started.
+	Restored time.Time `json:"restored,omitzero"`
 	// Refused is the last configuration that this node rejected; nil if there is none.
 	Refused *Refusal `json:"refused,omitempty"`
 	// Hosts counts the hosts that this node knows by the state of their upstreams.
--- a/pkg/handover/handover_test.go
+++ b/pkg/handover/handover_test.go
@@ -32,14 +32,14 @@
 			Acceptance: bundle.Acceptance{Version: 4, Bundle: "abc", Acceptor: "ioana", Preparer: "mihai", Time: now.Add(-2 * time.Minute)},
 			Recent:     []bundle.Acceptance{{Version: 3, Bundle: "def", Acceptor: "mihai"}},
 		},
-		Lead: "a2", StoreTime: now.Add(-time.Hour),
+		Lead: "a2", StoreTime: now.Add(-time.Hour), Restored: now.Add(-3 * time.Hour),
 		Refused:     &handover.Refusal{Revision: 9, Source: "store", Error: "no weight"},
 		Hosts:       map[string]int{"ready": 6, "leaving": 1},
 		Unreachable: []string{"b1", "b2", "b3", "b4", "b5", "b6"},
 		Suspects:    []handover.Suspect{{Fingerprint: "00ff", Crashes: 3}},
 	})
 	for _, want := range []string{
-		"version 4, bundle abc", "ioana at 2026-03-12 11:58:00 UTC (2m0s ago)", "a1 in cluj-1, for 1m0s", "answered 1h0m0s ago, read by a2",
+		"version 4, bundle abc", "ioana at 2026-03-12 11:58:00 UTC (2m0s ago)", "a1 in cluj-1, for 1m0s", "answered 1h0m0s ago, read by a2", "restored from an older copy 3h0m0s ago",
 		"version 3, bundle def, accepted by mihai", "revision 9 from store", "no weight", "request 00ff after 3 crashes",
 		"b1, b2, b3, b4, b5 and 1 more", "1 leaving, 6 ready",
 	} {
@@ -48,6 +48,7 @@
 		}
 	}
 	is.True(strings.Contains(renderText(t, handover.Report{}), "no version yet"))
+	is.True(!strings.Contains(renderText(t, handover.Report{}), "restored"))
 	is.True(strings.Contains(renderText(t, handover.Report{Version: 12}), "version 12, written without a sign-off"))
 }
 
--- a/pkg/handover/text.go
+++ b/pkg/handover/text.go
@@ -59,6 +59,9 @@
 	default:
 		writeRow(w, "store", fmt.Sprintf("answered %s ago, read by %s", formatAge(r.Time, r.StoreTime), r.Lead))
 	}
+	if !r.Restored.IsZero() {
+		writeRow(w, "", fmt.Sprintf("restored from an older copy %s ago; bundle status tells whether it lacks the version in force", formatAge(r.Time, r.Restored)))
+	}
 }
 
 // writeRecent writes the versions before the one in force, the newest first.
--- a/pkg/host/handover.go
+++ b/pkg/host/handover.go
@@ -55,6 +55,7 @@
 		}
 	}
 	r.Lead, r.StoreTime = n.lead.lastStoreAnswer()
+	r.Restored = n.lead.lastRestored()
 	r.Refused = n.refused.Load()
 	for _, h := range n.table.All() {
 		r.Hosts[stateOf(&h)]++
--- a/pkg/host/lead.go
+++ b/pkg/host/lead.go
@@ -233,6 +233,13 @@
 	l.restoredAt = time.Now()
 }
 
+// lastRestored returns when this node learned that the store was restored, or zero.
+func (l *lead) lastRestored() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restoredAt
+}
+
 // leads reports whether this node reads the store.
 func (l *lead) leads() bool {
 	l.mu.Lock()
--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -40,6 +40,10 @@
 	// ExpectedVersion is the version that the operator saw in force. Accept fails with a
 	// ConflictError if another version is in force.
 	ExpectedVersion model.Version
+	// NodeVersion is the version that nodes have in force, 0 if no node was asked. It is newer
+	// than the one in the store if the store was restored from an older copy. Nodes ignore
+	// versions that are not newer than theirs, so the next version follows the newer of both.
+	NodeVersion model.Version
 	// Acceptor is the name of the operator who signs off with Key.
 	Acceptor string
 	KeyID    string
@@ -79,6 +83,16 @@
 	return text
 }
 
+// LostVersionError reports that nodes have a newer version in force than the store has, and
+// that the operator did not expect it.
+type LostVersionError struct{ Expected, Stored, OnNodes model.Version }
+
+// Error tells how to sign off a version that nodes accept.
+func (e *LostVersionError) Error() string {
+	return fmt.Sprintf("expected version %d, but nodes have version %d in force and the store has version %d: the store was restored from an older copy; "+
+		"with --expect-version %d the bundle becomes version %d", e.Expected, e.OnNodes, e.Stored, e.OnNodes, e.OnNodes+1)
+}
+
 // UnknownOutcomeError reports that it could not be determined whether a sign-off took effect.
 type UnknownOutcomeError struct {
 	Operation string
@@ -106,7 +120,11 @@
 	if err != nil {
 		return bundle.Acceptance{}, err
 	}
-	if head.Acceptance.Version != r.ExpectedVersion {
+	stored := head.Acceptance.Version
+	switch {
+	case r.NodeVersion > stored && r.NodeVersion != r.ExpectedVersion:
+		return bundle.Acceptance{}, &LostVersionError{Expected: r.ExpectedVersion, Stored: stored, OnNodes: r.NodeVersion}
+	case r.NodeVersion <= stored && stored != r.ExpectedVersion:
 		return bundle.Acceptance{}, &ConflictError{Expected: r.ExpectedVersion, Winner: head.Acceptance}
 	}
 	a, err := r.sign(&head)
@@ -115,7 +133,7 @@
 	}
 	m, err := bundlestore.Claim(ctx, store, r.Bundle, a.Version, r.AllowInForce)
 	if err != nil {
-		return bundle.Acceptance{}, claimError(ctx, store, r.ExpectedVersion, err)
+		return bundle.Acceptance{}, r.claimError(ctx, store, stored, err)
 	}
 	b, err := loadValid(ctx, store, r.Bundle)
 	if err != nil {
@@ -144,9 +162,9 @@
 }
 
 // claimError returns the error to report when a bundle could not be claimed. If another
-// version has come into force since the head was read, that explains the failure and
+// version than stored has come into force since the head was read, that explains the failure and
 // claimError returns a *ConflictError; otherwise it returns the error of the claim.
-func claimError(ctx context.Context, store objects.Store, expect model.Version, claim error) error {
+func (r *Request) claimError(ctx context.Context, store objects.Store, stored model.Version, claim error) error {
 	if !errors.Is(claim, bundlestore.ErrInvalidTransition) {
 		return claim
 	}
@@ -154,8 +172,8 @@
 	if err != nil {
 		return errors.Join(claim, err)
 	}
-	if head.Acceptance.Version != expect {
-		return &ConflictError{Expected: expect, Winner: head.Acceptance}
+	if head.Acceptance.Version != stored {
+		return &ConflictError{Expected: r.ExpectedVersion, Winner: head.Acceptance}
 	}
 	return claim
 }
@@ -173,14 +191,14 @@
 }
 
 // sign checks the reason, and the key against r.Keyring, and returns a signed acceptance
-// for the version that follows head. Its preparer and config digest are not known before
+// for the version that follows the head and those on nodes. Its preparer and config digest are not known before
 // the bundle is read, so Accept sets them and signs again.
 func (r *Request) sign(head *bundle.Head) (bundle.Acceptance, error) {
 	if len(r.Reason) > maxReasonBytes {
 		return bundle.Acceptance{}, fmt.Errorf("reason has %d bytes, but at most %d are allowed", len(r.Reason), maxReasonBytes)
 	}
 	a := bundle.Acceptance{
-		Version:   head.Acceptance.Version + 1,
+		Version:   max(head.Acceptance.Version, r.NodeVersion) + 1,
 		Bundle:    r.Bundle,
 		Parent:    head.Acceptance.Bundle,
 		Acceptor:  r.Acceptor,
