Try the report of a planned stop with orders on kept connections

Report of other operators: in a planned stop of one machine, in calm, requests that came late in the grace were taken and cut at its end.

--- a/pkg/host/stop_load_test.go
+++ b/pkg/host/stop_load_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -83,6 +84,74 @@
 	}
 }
 
+// A planned stop of one node, in calm, cuts no order that callers send on kept connections
+// until the process is gone. Each order runs for almost as long as its caller waits.
+func TestStopCutsNoOrderOnKeptConnections(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	for _, m := range c.hosts {
+		m.Upstream.SetBehaviour(standin.Behaviour{Work: 1100 * time.Millisecond})
+	}
+	stopping := c.hosts[1] // the upstreams of the other hosts run the orders
+	var mu sync.Mutex
+	status := make(map[string]int) // by request id, 0 if there was no answer
+	var callers sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i := range 24 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			for n := 0; ctx.Err() == nil; n++ {
+				id := fmt.Sprintf("kept-%d-%d", i, n)
+				got := 0
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+stopping.OutboundAddress()+"/order/1", strings.NewReader("two pallets"))
+				if err == nil {
+					request.Host = "a.example"
+					request.Header.Set(platform.HeaderRequestID, id)
+					request.Header.Set(platform.HeaderDeadline, "1300")
+					got = statusOf(client, request)
+				}
+				mu.Lock()
+				status[id] = got
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	start := time.Now()
+	stopping.Node.Stop()
+	is.True(time.Since(start) < time.Duration(stopping.GraceS)*time.Second)
+	cancel()
+	callers.Wait()
+	served := 0
+	for id, got := range status {
+		if got == http.StatusOK {
+			served++
+		}
+		if got == 0 && c.ran(id) > 0 {
+			t.Errorf("%s ran and was cut", id)
+		}
+	}
+	is.True(served > 0)
+	is.True(!strings.Contains(stopping.log.String(), `"requests-cut"`))
+}
+
+// statusOf sends a request and returns the status of its complete answer, or 0.
+func statusOf(client *http.Client, request *http.Request) int {
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return 0
+	}
+	return answer.StatusCode
+}
+
 // A request that arrives completely only when too little is left of the grace period is
 // refused with a promise that it does not run, instead of being passed on and cut.
 func TestStopRefusesWhatCannotEnd(t *testing.T) {
