Restore the store from an older copy in the soak and the model

Change: the soak restores the store from a copy of 0.2 to 2 s before as one of 18 faults, and in half of the seeds from the middle of the seed after the last fault. Each seed ends with a new version, which has to be in force on every host within 17 s, the users' target. The restore does not overlap with a kill of all nodes while only they know what was lost. spec/rollout.pml restores the platform once; a lead that goes by revisions (BROKEN_BY_REVISION) is caught.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -62,6 +62,44 @@
 	leaving []leaving
 	stops   []interval
 	freezes []interval
+	// accepted is the newest version that the store has acknowledged, at the time acceptedAt.
+	accepted   int
+	acceptedAt time.Time
+}
+
+func (l *ledger) addAccepted(version int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepted, l.acceptedAt = version, at
+}
+
+// applyTime is within how long a version has to be in force on every host.
+const applyTime = 17 * time.Second
+
+// hostsBehind returns the hosts that have not served a request of the newest version that was
+// sent within applyTime after its acknowledgement.
+func (l *ledger) hostsBehind() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.behind()
+}
+
+// behind is hostsBehind for a caller that holds mu.
+func (l *ledger) behind() []string {
+	served := make(map[string]bool)
+	for _, s := range l.sent {
+		version, isVersionPath := versionOfPath(s.path)
+		inTime := !s.at.After(l.acceptedAt.Add(applyTime))
+		served[s.host] = served[s.host] || isVersionPath && version == l.accepted && s.status == http.StatusOK && inTime
+	}
+	var hosts []string
+	for host, ok := range served {
+		if !ok {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
 }
 
 func (l *ledger) addStop(i interval) {
@@ -95,8 +133,9 @@
 // check compares the recorded results with the requests that upstreams received, and returns
 // a message for each violation: an order that ran twice, a request that ran although its
 // caller was told that it did not, a wrong or unsigned answer, a process that went back to an
-// older version, a request to an upstream after its drain time, more requests to an
-// upstream than the limit that it names, or a request that a planned stop cut.
+// older version, a host that does not have the newest version in time, a request to an
+// upstream after its drain time, more requests to an upstream than the limit that it names,
+// or a request that a planned stop cut.
 func (l *ledger) check(seen []receivedRequest) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,6 +147,9 @@
 	}
 	violations := append(checkLeaving(l.leaving, seen), checkNotices(l.sent, seen)...)
 	violations = append(violations, l.checkStops(ran)...)
+	if behind := l.behind(); l.accepted > 0 && len(behind) > 0 {
+		violations = append(violations, fmt.Sprintf("version %d was not in force within %s on %s", l.accepted, applyTime, strings.Join(behind, ", ")))
+	}
 	newest := make(map[string]int) // newest version that a process served, by host and start
 	for _, s := range l.sent {
 		if s.order && ran[s.id] > 1 {
@@ -304,6 +346,21 @@
 			is.New(t).Equal(len(l.check(tt.seen)), tt.violations)
 		})
 	}
+	newest, newestLate, newestMissing := ok("v", "/v3/"), ok("v", "/v3/"), missing
+	newest.at, newestLate.at, newestMissing.at = now, now.Add(applyTime+time.Second), now
+	for name, tt := range map[string]struct {
+		sent       []sent
+		violations int
+	}{
+		"newest version in time":  {[]sent{newestMissing, newest}, 0},
+		"newest version too late": {[]sent{newestMissing, newestLate}, 1},
+		"newest version missing":  {[]sent{newestMissing, ok("v", "/v2/")}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &ledger{sent: tt.sent, accepted: 3, acceptedAt: now}
+			is.New(t).Equal(len(l.check(nil)), tt.violations)
+		})
+	}
 	for name, tt := range map[string]struct {
 		sent       []sent
 		leaving    []leaving
--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -32,6 +32,13 @@
 	hosts   []*process
 	ledger  ledger
 	version atomic.Int64
+	// operator is held while the operator writes to the store.
+	operator sync.Mutex
+	// storeLoss is held while the store has lost records that only the nodes know, and while
+	// all nodes are killed, since then nobody knows them.
+	storeLoss sync.Mutex
+	// halfway is a copy of the store from the middle of the faults.
+	halfway atomic.Pointer[standin.Copy]
 	// killedAll is true once all nodes were killed while the store was silent.
 	killedAll atomic.Bool
 
@@ -191,10 +198,33 @@
 	m.replace(p)
 }
 
-// nextVersion writes the next configuration version to the store. It has a route /vN/ for
-// itself and for each earlier version, so that a request shows which version a node has.
+// nextVersion writes the next configuration version to the store.
 func (m *mesh) nextVersion() {
-	version := int(m.version.Add(1))
+	m.operator.Lock()
+	defer m.operator.Unlock()
+	m.writeVersion(int(m.version.Add(1)))
+}
+
+// writeNewestVersion writes the newest configuration version to the store again.
+func (m *mesh) writeNewestVersion() {
+	m.operator.Lock()
+	defer m.operator.Unlock()
+	m.writeVersion(int(m.version.Load()))
+}
+
+// awaitNewestVersion waits until every host has served a request of the newest version, for
+// at most applyTime.
+func (m *mesh) awaitNewestVersion() {
+	for end := time.Now().Add(applyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if len(m.ledger.hostsBehind()) == 0 {
+			return
+		}
+	}
+}
+
+// writeVersion writes a configuration version to the store. It has a route /vN/ for itself
+// and for each earlier version, so that a request shows which version a node has.
+func (m *mesh) writeVersion(version int) {
 	route := func(prefix, service, kind string) map[string]any {
 		return map[string]any{"host": "a.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 1500, "targetLatencyMs": 500,
 			"priority": 1, "service": service, "maxAttempts": 2}
@@ -212,6 +242,7 @@
 		return
 	}
 	m.store.Put("config", "main", spec)
+	m.ledger.addAccepted(version, time.Now())
 }
 
 // load sends requests through a host until ctx ends, on connections that stay open while the
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,7 @@
 // them, the store, the upstreams and the network in an order drawn from a seed, and checks
 // the system's guarantees from what callers and upstreams see.
 //
-//	go test ./soak                              one short seed, as in CI
+//	go test ./soak                              four short seeds, as in CI
 //	go test ./soak -seeds 50 -length 20s        the next 50 seeds
 //	go test ./soak -seed 7 -seeds 1 -length 20s  one seed again
 //	go test ./soak -hosts 40 -at-once 1         a fleet in which nodes are not all connected
@@ -28,7 +28,7 @@
 
 var (
 	firstSeed = flag.Int("seed", 1, "first seed")
-	seeds     = flag.Int("seeds", 1, "number of seeds")
+	seeds     = flag.Int("seeds", 4, "number of seeds")
 	length    = flag.Duration("length", 8*time.Second, "length of the faults of one seed")
 	hosts     = flag.Int("hosts", 6, "hosts of a mesh")
 	parallel  = flag.Int("at-once", 2, "seeds that run at the same time")
@@ -79,12 +79,19 @@
 		}
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
+	isRestoredAtEnd := random.IntN(2) == 0
+	time.AfterFunc(length/2, func() { m.halfway.Store(m.store.Copy()) })
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		fault := drawFault(random, m)
 		faults.Go(fault)
 		time.Sleep(time.Duration(100+random.IntN(700)) * time.Millisecond)
 	}
 	faults.Wait()
+	if isRestoredAtEnd {
+		m.restoreStore(m.halfway.Load(), time.Second)
+	}
+	m.nextVersion()
+	m.awaitNewestVersion()
 	time.Sleep(2 * time.Second)
 	cancel()
 	callers.Wait()
@@ -120,7 +127,7 @@
 	p := m.hosts[random.IntN(len(m.hosts))]
 	span := time.Duration(200+random.IntN(1800)) * time.Millisecond
 	share := random.IntN(3)
-	switch random.IntN(17) {
+	switch random.IntN(18) {
 	case 0:
 		return func() {
 			from := time.Now()
@@ -170,6 +177,8 @@
 		return func() { p.link.mute(share != 0, share != 1, span) }
 	case 16:
 		return func() { m.limit(p, 4500*time.Millisecond+2*span) }
+	case 17:
+		return func() { m.loseRecent(span, span/time.Duration(1+share)) }
 	case 12:
 		by := time.Duration(20+random.IntN(200)) * time.Millisecond
 		return func() { p.link.slow(by, span) }
@@ -180,10 +189,41 @@
 	return func() { m.nextVersion() }
 }
 
+// loseRecent restores the store from the copy of its content from an earlier time.
+func (m *mesh) loseRecent(age, outage time.Duration) {
+	m.storeLoss.Lock()
+	defer m.storeLoss.Unlock()
+	older := m.store.Copy()
+	time.Sleep(age)
+	m.restoreStore(older, outage)
+	time.Sleep(rewriteTime)
+}
+
+// restoreStore silences the store and then restores it from an older copy. The operator
+// writes the newest version again a while later.
+func (m *mesh) restoreStore(older *standin.Copy, outage time.Duration) {
+	for _, p := range m.hosts {
+		m.store.SetFaults(p.store, standin.Faults{Silent: true})
+	}
+	time.Sleep(outage / 2)
+	m.store.Restore(older)
+	for _, p := range m.hosts {
+		m.store.SetFaults(p.store, standin.Faults{})
+	}
+	time.Sleep(outage / 2)
+	m.writeNewestVersion()
+}
+
+// rewriteTime is how long the nodes have to write again what the store has lost, before all
+// of them may be killed.
+const rewriteTime = 2 * time.Second
+
 // killAllWithoutStore kills and restarts all nodes while the store is silent. The store answers again
 // only after the nodes have started.
 func (m *mesh) killAllWithoutStore(downtime time.Duration) func() {
 	return func() {
+		m.storeLoss.Lock()
+		defer m.storeLoss.Unlock()
 		for _, p := range m.hosts {
 			m.store.SetFaults(p.store, standin.Faults{Silent: true})
 		}
--- a/spec/rollout.pml
+++ b/spec/rollout.pml
@@ -1,10 +1,13 @@
 /* Roll-out of accepted versions: watch, push, pull, apply, restart. The head
  * behaves as model signoff.pml shows: it only grows, one bundle for each version.
+ * Once, the platform may be restored from an older copy without a version; its
+ * revisions are then given out again, and the operator writes the newest version again.
  *
  * Variants that the checker must refuse:
  *   BROKEN_NO_ORDER             a node applies a version without comparing it with its own
  *   BROKEN_NO_CONTENT_CHECK     a node applies content without comparing it with the accepted id
  *   BROKEN_NO_PULL              a node that missed a push does not pull
+ *   BROKEN_BY_REVISION          a lead takes a version only at a higher revision than its own
  *
  * Properties, as assertions:
  *   the version of a live node never goes back;
@@ -19,6 +22,13 @@
 
 /* The head object in the platform; version v has bundle v. */
 byte headVersion = 0;
+byte newest = 0;       /* the newest version that the platform has accepted */
+
+/* The platform's revision, and the one at which each version was first written. */
+byte headRevision = 0;
+byte revisionOf[VERSIONS + 1];
+
+byte restores = 1;     /* restores that may still happen */
 
 /* The version in force on each node, and its content. */
 byte version[NODES];
@@ -30,11 +40,23 @@
 byte damages = 1;      /* messages that may still be damaged */
 byte restarts = 1;     /* restarts that may still happen */
 
-/* Sign-offs, one after the other. */
+/* Writes a version. Version 1 is first written behind another object. */
+inline write(v) {
+	headRevision++;
+	if
+	:: revisionOf[v] == 0 -> headRevision = headRevision + (v == 1); revisionOf[v] = headRevision
+	:: else -> skip
+	fi;
+	headVersion = v
+}
+
+/* Sign-offs, one after the other, and a restore. */
 proctype signoff() {
 	do
-	:: headVersion < VERSIONS -> headVersion++
-	:: else -> break
+	:: atomic { headVersion == newest && newest < VERSIONS -> newest++; write(newest) }
+	:: atomic { restores > 0 && newest == 1 -> restores--; headVersion = 0; headRevision = 0 }
+	:: atomic { headVersion < newest -> write(newest) }
+	:: headVersion == VERSIONS -> break
 	od
 }
 
@@ -91,7 +113,11 @@
 
 end:	do
 	/* A lead reads the head; it may pause before it goes on. */
+#ifdef BROKEN_BY_REVISION
+	:: n < LEADS && headVersion > version[n] && headRevision > revisionOf[version[n]] ->
+#else
 	:: n < LEADS && headVersion > version[n] ->
+#endif
 		d_step { v = headVersion; c = headVersion };
 		take(n, v, c)
 	/* A push arrives; those of different peers cross each other. */
