Know a configuration by its content, and forget a former store

What callers saw: nothing yet. A node whose settings named another store skipped that store's version where its revision equalled that of the version in force, and took the other store's rosters for outdated while its revisions were lower.

Change: a document is known if it equals the one in force, without its revision. A changed address discards what is known of the store. The epoch in announcements is that of the lead's own client, so that the epoch of a former store does not live on among peers.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -250,7 +250,13 @@
 	}
 	n.log.Emit(event.StoreRestored, event.F("before", known), event.F("epoch", epoch))
 	n.lead.noteRestored()
-	n.rosters.forgetStored(epoch)
+	n.forgetStore()
+}
+
+// forgetStore discards what this node knows to be in the store.
+func (n *Node) forgetStore() {
+	n.lead.forgetRevisions()
+	n.rosters.forgetStored()
 	n.peers.tree.forgetSaved()
 	n.record.forgetSaved()
 }
@@ -314,18 +320,10 @@
 }
 
 // applyConfig puts a configuration in force if its version is newer and it is valid, and
-// reports whether it did. Revisions do not order configurations, since the store assigns
-// them again after it was restored; they only tell that a document is known.
+// reports whether it did. Revisions neither order nor identify configurations, since a store
+// that was restored assigns them again.
 func (n *Node) applyConfig(raw []byte, revision model.Revision, source string) bool {
-	current := n.config.Current()
-	switch {
-	case current == nil:
-	case current.Revision == revision && revision.Epoch > 0:
-		return false
-	case bytes.Equal(current.Raw, raw):
-		if current.Revision.Before(revision) {
-			n.config.SetRevision(current, revision)
-		}
+	if current := n.config.Current(); current != nil && bytes.Equal(current.Raw, raw) {
 		return false
 	}
 	s, err := platform.DecodeConfig(raw, revision)
--- a/pkg/host/lead.go
+++ b/pkg/host/lead.go
@@ -233,6 +233,14 @@
 	l.restoredAt = time.Now()
 }
 
+// forgetRevisions makes the next read of the configuration a full one, from which watches
+// start anew.
+func (l *lead) forgetRevisions() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watchRevision, l.readRevision = model.Revision{}, model.Revision{}
+}
+
 // lastRestored returns when this node learned that the store was restored, or zero.
 func (l *lead) lastRestored() time.Time {
 	l.mu.Lock()
@@ -268,7 +276,7 @@
 		return
 	}
 	digest := l.node.table.Digest()
-	l.node.peers.broadcast(&link.StateUpdate{LeadRank: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version(), HostsDigest: &digest, StoreEpoch: l.node.storeEpoch.Load()})
+	l.node.peers.broadcast(&link.StateUpdate{LeadRank: rankOf(l.node.settings.Load()), ConfigVersion: l.node.Version(), HostsDigest: &digest, StoreEpoch: l.node.store().Epoch()})
 }
 
 // recordOutcome records the result of a call to the store and logs when the store is lost
--- a/pkg/host/lead_reader.go
+++ b/pkg/host/lead_reader.go
@@ -78,7 +78,7 @@
 		l.mu.Lock()
 		revision := l.watchRevision
 		l.mu.Unlock()
-		if revision.IsZero() || revision.Epoch < l.node.storeEpoch.Load() {
+		if revision.IsZero() || revision.Epoch < l.node.store().Epoch() {
 			return nil // not read yet, or not since the store was restored
 		}
 		d, next, err := l.node.store().WatchConfig(ctx, revision, watchWait)
--- a/pkg/host/reload.go
+++ b/pkg/host/reload.go
@@ -43,6 +43,9 @@
 	}
 	if old.Store.Address != s.Store.Address {
 		n.storePtr.Swap(n.newStore(s.Store.Address)).Close()
+		// Another store has epochs and revisions of its own.
+		n.storeEpoch.Store(0)
+		n.forgetStore()
 	}
 	listen := old.Listen
 	listen.Profiles = s.Listen.Profiles // applied without a restart
--- a/pkg/host/restored_store_test.go
+++ b/pkg/host/restored_store_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 	"github.com/tarragondrum/tarragondrum/pkg/localmesh"
+	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
 
 // applyTime is within how long a version is in force on every node.
@@ -100,6 +101,47 @@
 	})
 }
 
+// A node whose settings name another store takes that store's versions and writes its records
+// there, although the former one had higher revisions, and the same for another version.
+func TestRevisionsOfFormerStoreHideAnother(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	c.awaitStored(fleet.StateReady)
+	for range 20 {
+		c.store.PutConfig([]byte(`{}`)) // revisions grow, and the epoch with the next two lines
+	}
+	c.store.Restore(c.store.Copy())
+	c.store.Restore(c.store.Copy())
+	c.eventually("all nodes know the epoch", func() bool {
+		for _, m := range c.hosts {
+			if !strings.Contains(m.log.String(), `"store-restored"`) {
+				return false
+			}
+		}
+		return true
+	})
+	former := c.store
+	c.store = standin.NewStore()
+	t.Cleanup(c.store.Close)
+	c.putConfig(3, "ledger")
+	for _, m := range c.hosts {
+		address, err := c.store.Listen("127.0.0.1:0")
+		is.NoErr(err)
+		m.StoreAddress, c.mesh.StoreAddress = address, address
+		is.NoErr(m.WriteSettings())
+		m.Node.Reload(true)
+	}
+	former.Close()
+	c.eventuallyVersion(3)
+	c.awaitStored(fleet.StateReady)
+	leaving := c.hosts[1]
+	leaving.StopHeartbeats()
+	is.NoErr(leaving.Upstream.Beat(leaving.AnnounceAddress(), "draining"))
+	c.eventually("the leaving is stored", func() bool { return c.stored(leaving.Name) == fleet.StateLeaving })
+	c.putConfig(4, "desk")
+	c.eventuallyVersion(4)
+}
+
 // awaitStored waits until the store has every host with a state of its upstream.
 func (c *cluster) awaitStored(state fleet.State) {
 	c.t.Helper()
--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -37,9 +37,9 @@
 	node *Node
 	// joined is closed when the store has returned the roster of the own data centre.
 	joined once
-	// restoredEpoch is the epoch that the store began when it was last restored, and
-	// readEpoch the value of restoredEpoch when all rosters were last read.
-	restoredEpoch, readEpoch atomic.Uint64
+	// losses counts how often what was known of the store was discarded, and readAfter is
+	// the value of losses before all rosters were last read.
+	losses, readAfter atomic.Uint64
 	// changes counts the changes of stored.
 	changes atomic.Uint64
 
@@ -96,22 +96,21 @@
 	return err
 }
 
-// forgetStored discards what is known of the rosters in the store, which was restored from an
-// older copy and began an epoch.
-func (r *rosters) forgetStored(epoch uint64) {
+// forgetStored discards what is known of the rosters in the store.
+func (r *rosters) forgetStored() {
 	r.mu.Lock()
 	clear(r.stored)
 	r.mu.Unlock()
-	r.restoredEpoch.Store(epoch)
+	r.losses.Add(1)
 	r.changes.Add(1)
 }
 
-// mustReadAll reports whether the rosters have not been read since the store was restored.
-func (r *rosters) mustReadAll() bool { return r.readEpoch.Load() < r.restoredEpoch.Load() }
+// mustReadAll reports whether the rosters have not been read since forgetStored.
+func (r *rosters) mustReadAll() bool { return r.readAfter.Load() < r.losses.Load() }
 
 // readAll reads the rosters of all data centres.
 func (r *rosters) readAll(ctx context.Context, mayBeStale bool) error {
-	epoch := r.restoredEpoch.Load()
+	losses := r.losses.Load()
 	all, err := r.node.store().Rosters(ctx, mayBeStale)
 	if err != nil {
 		return err
@@ -120,7 +119,7 @@
 		r.mergeRoster(&all[i])
 	}
 	if !mayBeStale {
-		r.readEpoch.Store(epoch)
+		r.readAfter.Store(losses)
 		r.node.record.learned.done()
 	}
 	return nil
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -251,15 +251,19 @@
 	n := t.sequence
 	t.lastAnnouncements[rank] = announcement{t.process, n} // it may return by another route
 	t.mu.Unlock()
-	t.send(t.announcementMessage(rank, t.process, n), "")
+	t.send(t.announcementMessage(&link.StateUpdate{
+		LeadRank: rank, LeadRun: t.process, LeadSequence: n, StoreEpoch: t.node.store().Epoch(),
+	}), "")
 }
 
-// announcementMessage returns an announcement with this node's configuration version and
-// table digest.
-func (t *tree) announcementMessage(rank string, run int64, number uint64) *link.StateUpdate {
+// announcementMessage returns an announcement of a lead with the version and the digest of
+// this node, which its neighbours compare with theirs.
+func (t *tree) announcementMessage(of *link.StateUpdate) *link.StateUpdate {
 	digest := t.node.table.Digest()
-	return &link.StateUpdate{LeadRank: rank, LeadRun: run, LeadSequence: number, ConfigVersion: t.node.Version(), HostsDigest: &digest,
-		StoreEpoch: t.node.storeEpoch.Load()}
+	return &link.StateUpdate{
+		LeadRank: of.LeadRank, LeadRun: of.LeadRun, LeadSequence: of.LeadSequence, StoreEpoch: of.StoreEpoch,
+		ConfigVersion: t.node.Version(), HostsDigest: &digest,
+	}
 }
 
 // forwardIfNew reports whether an announcement is newer than the last one of its lead, and
@@ -276,7 +280,7 @@
 	}
 	t.lastAnnouncements[n.LeadRank] = announcement{n.LeadRun, n.LeadSequence}
 	t.mu.Unlock()
-	t.send(t.announcementMessage(n.LeadRank, n.LeadRun, n.LeadSequence), from)
+	t.send(t.announcementMessage(n), from)
 	return true
 }
 
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -203,8 +203,7 @@
 	HostTable []byte `cbor:"15,keyasint,omitempty"`
 	// ConfigEpoch is the epoch of ConfigRevision, 0 from a node that does not know epochs.
 	ConfigEpoch uint64 `cbor:"16,keyasint,omitempty"`
-	// StoreEpoch is the latest epoch of the store that the sender knows. Announcements of
-	// leads have it.
+	// StoreEpoch is the latest epoch of the store that the lead of an announcement knows.
 	StoreEpoch uint64 `cbor:"17,keyasint,omitempty"`
 }
 
--- a/pkg/meshconf/meshconf.go
+++ b/pkg/meshconf/meshconf.go
@@ -106,7 +106,7 @@
 // started with until it ends.
 type Snapshot struct {
 	Config
-	// Revision is the revision of the configuration in the store.
+	// Revision is the revision at which the store had the configuration when it was read.
 	Revision model.Revision
 	// Raw is the document that the snapshot was decoded from. Peers receive it unchanged.
 	Raw []byte
@@ -213,11 +213,3 @@
 		}
 	}
 }
-
-// SetRevision records that the store has the snapshot in force at another revision, unless
-// another one is in force by now.
-func (h *Holder) SetRevision(s *Snapshot, revision model.Revision) {
-	moved := *s
-	moved.Revision = revision
-	h.current.CompareAndSwap(s, &moved)
-}
--- a/pkg/meshconf/meshconf_test.go
+++ b/pkg/meshconf/meshconf_test.go
@@ -51,25 +51,3 @@
 		}
 	})
 }
-
-// A later revision of the snapshot in force changes nothing else, and does not bring it back
-// once another one is in force.
-func TestSetRevision(t *testing.T) {
-	is := is.New(t)
-	var h meshconf.Holder
-	compile := func(version uint64) *meshconf.Snapshot {
-		s, err := meshconf.Compile(meshconf.Config{Version: version}, model.Revision{Epoch: 1, Number: version}, []byte("document"))
-		is.NoErr(err)
-		return s
-	}
-	first := compile(1)
-	is.True(h.Publish(first))
-	h.SetRevision(first, model.Revision{Epoch: 2, Number: 1})
-	is.Equal(h.Current().Revision, model.Revision{Epoch: 2, Number: 1})
-	is.Equal(h.Current().Version, uint64(1))
-	is.Equal(h.Current().Compressed(), first.Compressed())
-	is.Equal(first.Revision, model.Revision{Epoch: 1, Number: 1}) // requests may still use it
-	is.True(h.Publish(compile(2)))
-	h.SetRevision(first, model.Revision{Epoch: 3, Number: 1})
-	is.Equal(h.Current().Version, uint64(2))
-}
