Read an unknown roster before a node writes it on its own

Cause: after a restore, a node that does not lead read the roster of its data centre before each of its own writes, for as long as it ran.

Change: it reads the roster only where it does not know it. The tests of restores, leavings and removals pass (50 s).

--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -322,12 +322,12 @@
 
 // writeOwn writes the roster of this host's data centre where the lead has not done so.
 func (r *rosters) writeOwn(ctx context.Context) error {
-	if r.mustReadAll() {
+	centre := r.node.record.current().DataCentre
+	if _, known := r.copyStored()[centre]; !known {
 		if err := r.tryJoin(ctx); err != nil {
 			return err
 		}
 	}
-	centre := r.node.record.current().DataCentre
 	for _, d := range r.drafts() {
 		if d.dataCentre == centre {
 			return r.write(ctx, &d)
