--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -37,8 +37,8 @@
 	node *Node
 	// joined is closed when the store has returned the roster of the own data centre.
 	joined once
-	// losses counts how often what was known of the store was discarded, and readAfter is
-	// the value of losses before all rosters were last read.
+	// losses counts the calls of forgetStored, and readAfter is the value that it had before
+	// all rosters were last read.
 	losses, readAfter atomic.Uint64
 	// changes counts the changes of stored.
 	changes atomic.Uint64
@@ -290,6 +290,7 @@
 // generation identifies a state of the table of hosts and of what is known of the store.
 type generation struct{ table, stored uint64 }
 
+// generation returns the current state.
 func (r *rosters) generation() generation {
 	return generation{table: r.node.table.Generation(), stored: r.changes.Load()}
 }
@@ -297,7 +298,7 @@
 // writeLoop writes the rosters that differ from the store while this node leads.
 func (r *rosters) writeLoop(ctx context.Context) {
 	var wroteAt time.Time
-	var equal generation // in which no roster differed
+	var equal generation // the last state in which no roster differed from the store
 	for ctx.Err() == nil {
 		sleep(ctx, urgentWriteInterval)
 		now := r.generation()
