--- a/pkg/signoff/signoff.go
+++ b/pkg/signoff/signoff.go
@@ -162,8 +162,9 @@
 }
 
 // claimError returns the error to report when a bundle could not be claimed. If another
-// version than stored has come into force since the head was read, that explains the failure and
-// claimError returns a *ConflictError; otherwise it returns the error of the claim.
+// version than stored has come into force since the head was read, that explains the
+// failure and claimError returns a *ConflictError; otherwise it returns the error of the
+// claim.
 func (r *Request) claimError(ctx context.Context, store objects.Store, stored model.Version, claim error) error {
 	if !errors.Is(claim, bundlestore.ErrInvalidTransition) {
 		return claim
@@ -191,8 +192,8 @@
 }
 
 // sign checks the reason, and the key against r.Keyring, and returns a signed acceptance
-// for the version that follows the head and those on nodes. Its preparer and config digest are not known before
-// the bundle is read, so Accept sets them and signs again.
+// for the version that follows those of the head and of nodes. Its preparer and config digest
+// are not known before the bundle is read, so Accept sets them and signs again.
 func (r *Request) sign(head *bundle.Head) (bundle.Acceptance, error) {
 	if len(r.Reason) > maxReasonBytes {
 		return bundle.Acceptance{}, fmt.Errorf("reason has %d bytes, but at most %d are allowed", len(r.Reason), maxReasonBytes)
