Review: a leaving that only peers know is forgotten when all are killed

Cause: a leaving is acknowledged without the store once a connection to a peer is open, and peers keep it in memory only. Shown with separate processes: the store down for 8 s, an instance that removes its entry and stays, all nodes killed and started again; afterwards the nodes send it requests.

--- /dev/null
+++ b/review/kit2/main.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Println("usage: kit2 CASE RECORD")
+		os.Exit(2)
+	}
+	var err error
+	if recordTo, err = os.Create(os.Args[2]); err != nil {
+		fmt.Println(err)
+		os.Exit(2)
+	}
+	if dir, err = os.MkdirTemp("", "review2-"); err != nil {
+		fmt.Println(err)
+		os.Exit(2)
+	}
+	time.AfterFunc(115*time.Second, func() { cannotRun("not finished in time") })
+	cases := map[string]func(trouble bool) string{"leaving": leaving, "poison": poison}
+	run := cases[os.Args[1]]
+	if run == nil {
+		cannotRun("no such case")
+	}
+	broken := run(os.Getenv("TROUBLE") != "0")
+	cleanUp()
+	if broken != "" {
+		say("BROKEN: %s", broken)
+		fmt.Println("BROKEN:", broken)
+		os.Exit(1)
+	}
+	say("the rule held")
+	fmt.Println("the rule held")
+}
+
+// load sends requests at each machine until stop is closed.
+func load(m *mesh, every time.Duration, stop chan struct{}) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for k, h := range m.machines {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(every):
+				}
+				id := fmt.Sprintf("c%d-%d", k+1, n)
+				sent := time.Now()
+				sentAt.Store(id, sent)
+				calm := h.calmAt(sent)
+				calmThen.Store(id, calm)
+				a := h.send("GET", "/browse/"+fmt.Sprint(n), id, 1200, "")
+				answers.Store(id, a)
+			}
+		})
+	}
+	return &all
+}
+
+var sentAt, calmThen, answers sync.Map
