Review: an interim answer is written into the body of an earlier answer

Cause: the reading goroutine of a caller's connection writes 100 (Continue) at once, while the writing one sends an earlier answer in parts. Shown with a client that sends a further idempotent request with Expect: 100-continue while the answer to its first one arrives: 37 to 39 of 40 answers are 200 with the signature and a spoilt body.

--- a/review/kit2/instance.go
+++ b/review/kit2/instance.go
@@ -109,7 +109,17 @@
 		return
 	}
 	w.Header().Set("Tarragondrum-Server-Signature", id+"."+request)
-	fmt.Fprintf(w, "answer to %s %s (%d bytes)", request, r.URL.Path, len(body))
+	_, _ = io.WriteString(w, answerText(request, id, r.URL.Path, len(body)))
+}
+
+// answerText returns the body of an instance's answer, for a path that ends with large one of 30,000
+// bytes.
+func answerText(request, inst, path string, size int) string {
+	text := fmt.Sprintf("answer of %s to %s %s (%d bytes)\n", inst, request, path, size)
+	if strings.HasSuffix(path, "large") {
+		text = strings.Repeat(text, 30000/len(text))
+	}
+	return text
 }
 
 // beats sends a heartbeat every 1.5 s.
--- a/review/kit2/mesh.go
+++ b/review/kit2/mesh.go
@@ -122,6 +122,7 @@
 	outbound, ready, control, app, storeAddr string
 	peer, advertised, metrics                int
 	inst                                     *instance
+	linkMbps                                 int
 
 	mu   sync.Mutex
 	node *exec.Cmd
@@ -140,13 +141,13 @@
 		store = h.storeAddr
 	}
 	return fmt.Appendf(nil, `{
-  "node": {"id": %q, "dataCentre": %q, "region": "ro-nord", "ip": %q, "memoryMB": 284, "maxDescriptors": 4100, "cpuShare": 0.32, "linkMbps": 1000.0, "firstStart": %t},
+  "node": {"id": %q, "dataCentre": %q, "region": "ro-nord", "ip": %q, "memoryMB": 284, "maxDescriptors": 4100, "cpuShare": 0.32, "linkMbps": %d, "firstStart": %t},
   "upstream": {"address": %q, "service": %q},
   "listen": {"outbound": %q, "ready": %q, "announce": %q, "peerPort": %d, %s "metricsPort": %d},
   "store": {"address": %q},
   "bounds": {"graceS": 6, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64, "configApplyMs": 2000}
 }
-`, h.name, h.zone, h.ip, h.starts == 0, h.app, h.service, h.outbound, h.ready, h.control, h.peer, advertised, h.metrics, store)
+`, h.name, h.zone, h.ip, h.linkMbps, h.starts == 0, h.app, h.service, h.outbound, h.ready, h.control, h.peer, advertised, h.metrics, store)
 }
 
 // startNode starts the node with the command of the deploy file.
@@ -225,7 +226,7 @@
 		return true
 	})
 	for i, s := range services {
-		h := &machine{m: m, name: fmt.Sprintf("machine-%d", i+1), zone: fmt.Sprintf("zone-%c", 'a'+i%zones), service: s, ip: ip(i + 1)}
+		h := &machine{m: m, name: fmt.Sprintf("machine-%d", i+1), zone: fmt.Sprintf("zone-%c", 'a'+i%zones), service: s, ip: ip(i + 1), linkMbps: 1000}
 		at := func() string { return fmt.Sprintf("%s:%d", h.ip, freePort(h.ip)) }
 		h.outbound, h.ready, h.control, h.app = at(), at(), at(), at()
 		h.peer, h.metrics = freePort(h.ip), freePort(h.ip)
