Review: a planned stop makes all forget that an instance has left

Cause: the end of a stop removes the host whose upstream is gone from all nodes and the store, and the next process takes a roster without itself for proof that nothing is known.

--- a/review/kit2/instance.go
+++ b/review/kit2/instance.go
@@ -132,19 +132,23 @@
 
 func (i *instance) beat() {
 	i.mu.Lock()
-	if i.silent {
-		i.mu.Unlock()
-		return
+	silent, id := i.silent, i.id
+	i.mu.Unlock()
+	if !silent {
+		i.tell(http.MethodPut, id, i.nextBeat())
 	}
+}
+
+// nextBeat returns the next heartbeat.
+func (i *instance) nextBeat() any {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.sequence++
-	b := map[string]any{
+	return map[string]any{
 		"address": i.h.app, "born": i.born,
 		"info":   map[string]any{"service": i.h.service, "version": "v1", "zone": i.h.zone, "slots": 9},
 		"status": map[string]any{"state": "ready", "sequence": i.sequence, "coldRemainingMs": 0},
 	}
-	id := i.id
-	i.mu.Unlock()
-	i.tell(http.MethodPut, id, b)
 }
 
 // tell calls the node on the instance's machine and reports whether it acknowledged within a second.
--- a/review/kit2/leaving.go
+++ b/review/kit2/leaving.go
@@ -57,6 +57,12 @@
 	close(stop)
 	clients.Wait()
 
+	return judgeLeaving(gone, acked, calm)
+}
+
+// judgeLeaving counts the requests that reached an instance later than drainMs after its leaving was
+// acknowledged, and were sent by machines in touch after the time calm.
+func judgeLeaving(gone *instance, acked, calm time.Time) string {
 	late, served, first := 0, 0, ""
 	answers.Range(func(_, a any) bool {
 		if a.(answer).status == 200 {
