--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -22,7 +22,7 @@
 		os.Exit(2)
 	}
 	time.AfterFunc(115*time.Second, func() { cannotRun("not finished in time") })
-	cases := map[string]func(trouble bool) string{"leaving": leaving, "returns": returns, "poison": poison, "expect": expect}
+	cases := map[string]func(trouble bool) string{"leaving": leaving, "returns": returns, "poison": poison, "expect": expect, "head": head}
 	run := cases[os.Args[1]]
 	if run == nil {
 		cannotRun("no such case")
