--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/tarragondrum ] && [ -x target/review-kit2 ] || { echo "run review/build-2.sh first"; exit 2; }
-KIT_BIN=target/tarragondrum exec target/review-kit2 expect "$here/record.txt"
+KIT_BIN=target/tarragondrum exec target/review-kit2 returns "$here/record.txt"
--- a/review/kit2/head.go
+++ b/review/kit2/head.go
@@ -8,17 +8,21 @@
 	"time"
 )
 
-// head: one kind of request is sent with the method HEAD. It may not be served less than a quarter as
-// often as all requests.
+func init() { cases["head"] = head }
+
+// head: clients of one route send the method HEAD. The route, which was added later, may not be served
+// less than a quarter as often as the first.
 func head(trouble bool) string {
 	m := newMesh(2, []string{"order-desk", "order-desk", "order-desk", "pigment-ledger"})
-	m.putConfig(1, map[string]any{
-		"r-browse": route("/browse/", "idempotent", "order-desk", 1200, 2),
-		"r-check":  route("/check/", "idempotent", "order-desk", 1200, 2),
-	})
+	routes := map[string]any{"r-browse": route("/browse/", "idempotent", "order-desk", 1200, 2)}
+	m.putConfig(1, routes)
 	m.startAll()
 	say("all nodes are ready")
-	time.Sleep(3 * time.Second)
+	time.Sleep(time.Second)
+	routes["r-check"] = route("/check/", "idempotent", "order-desk", 1200, 2)
+	m.replaceConfig(5, routes)
+	say("the store acknowledged version 5, which adds the route of /check/")
+	time.Sleep(4 * time.Second)
 	method := "GET"
 	if trouble {
 		method = "HEAD"
@@ -54,14 +58,13 @@
 		runs[a.path[:7]]++
 	}
 	arrivalsMu.Unlock()
-	sent, served := 0.0, 0.0
+	share := func(j int) float64 { return float64(kinds[j].served.Load()) / float64(kinds[j].sent.Load()) }
 	for j := range kinds {
 		kind := &kinds[j]
-		sent, served = sent+float64(kind.sent.Load()), served+float64(kind.served.Load())
 		say("%s %s: %d sent, %d runs at the instances, %d served", kind.method, kind.path, kind.sent.Load(), runs[kind.path[:7]], kind.served.Load())
 	}
-	if share := float64(kinds[1].served.Load()) / float64(kinds[1].sent.Load()); share < served/sent/4 {
-		return fmt.Sprintf("Starved: of the requests with %s %.2f are served, of all %.2f", method, share, served/sent)
+	if share(1) < share(0)/4 {
+		return fmt.Sprintf("CONFIG: %.2f of the requests with %s on the route that was added are served, %.2f on the first one", share(1), method, share(0))
 	}
 	return ""
 }
--- a/review/kit2/instance.go
+++ b/review/kit2/instance.go
@@ -37,8 +37,6 @@
 	server   *http.Server
 	run      int
 	work     time.Duration
-	// onRun is called when a request is begun. It returns true if the instance crashes.
-	onRun func(path string) bool
 }
 
 func newInstance(h *machine) *instance {
@@ -78,7 +76,7 @@
 
 func (i *instance) serve(w http.ResponseWriter, r *http.Request) {
 	i.mu.Lock()
-	id, onRun, work := i.id, i.onRun, i.work
+	id, work := i.id, i.work
 	i.mu.Unlock()
 	w.Header().Set("Tarragondrum-Instance-Id", id)
 	if r.URL.Path == "/healthz" {
@@ -97,12 +95,6 @@
 	arrivalsMu.Lock()
 	arrivals = append(arrivals, arrival{time.Now(), request, r.URL.Path, id, i.h})
 	arrivalsMu.Unlock()
-	if onRun != nil && onRun(r.URL.Path) {
-		say("request %s (%s) is run by %s", request, r.URL.Path, id)
-		go i.crash(2 * time.Second)
-		<-r.Context().Done()
-		return
-	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
@@ -185,6 +177,3 @@
 	}
 	return time.Time{}, false
 }
-
-// isOf reports whether an arrival has an id with a prefix.
-func (a arrival) isOf(prefix string) bool { return strings.HasPrefix(a.id, prefix) }
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// cases holds the cases by name. Each returns what was broken, empty if the rule held.
+var cases = map[string]func(trouble bool) string{}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Println("usage: kit2 CASE RECORD")
@@ -22,7 +25,6 @@
 		os.Exit(2)
 	}
 	time.AfterFunc(115*time.Second, func() { cannotRun("not finished in time") })
-	cases := map[string]func(trouble bool) string{"leaving": leaving, "returns": returns, "poison": poison, "expect": expect, "head": head}
 	run := cases[os.Args[1]]
 	if run == nil {
 		cannotRun("no such case")
--- a/review/kit2/mesh.go
+++ b/review/kit2/mesh.go
@@ -111,18 +111,17 @@
 
 // mesh is a small deployment.
 type mesh struct {
-	store, faults string
-	machines      []*machine
+	store    string
+	machines []*machine
 }
 
 // machine is a machine with a node and an instance.
 type machine struct {
-	m                                        *mesh
-	name, zone, service, ip                  string
-	outbound, ready, control, app, storeAddr string
-	peer, advertised, metrics                int
-	inst                                     *instance
-	linkMbps                                 int
+	m                             *mesh
+	name, zone, service, ip       string
+	outbound, ready, control, app string
+	peer, metrics                 int
+	inst                          *instance
 
 	mu   sync.Mutex
 	node *exec.Cmd
@@ -132,22 +131,14 @@
 }
 
 func (h *machine) settings() []byte {
-	advertised := ""
-	if h.advertised != 0 {
-		advertised = fmt.Sprintf(`"peerAdvertised": %d,`, h.advertised)
-	}
-	store := h.m.store
-	if h.storeAddr != "" {
-		store = h.storeAddr
-	}
 	return fmt.Appendf(nil, `{
-  "node": {"id": %q, "dataCentre": %q, "region": "ro-nord", "ip": %q, "memoryMB": 284, "maxDescriptors": 4100, "cpuShare": 0.32, "linkMbps": %d, "firstStart": %t},
+  "node": {"id": %q, "dataCentre": %q, "region": "ro-nord", "ip": %q, "memoryMB": 284, "maxDescriptors": 4100, "cpuShare": 0.32, "linkMbps": 1000.0, "firstStart": %t},
   "upstream": {"address": %q, "service": %q},
-  "listen": {"outbound": %q, "ready": %q, "announce": %q, "peerPort": %d, %s "metricsPort": %d},
+  "listen": {"outbound": %q, "ready": %q, "announce": %q, "peerPort": %d, "metricsPort": %d},
   "store": {"address": %q},
   "bounds": {"graceS": 6, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64, "configApplyMs": 2000}
 }
-`, h.name, h.zone, h.ip, h.linkMbps, h.starts == 0, h.app, h.service, h.outbound, h.ready, h.control, h.peer, advertised, h.metrics, store)
+`, h.name, h.zone, h.ip, h.starts == 0, h.app, h.service, h.outbound, h.ready, h.control, h.peer, h.metrics, h.m.store)
 }
 
 // startNode starts the node with the command of the deploy file.
@@ -163,15 +154,6 @@
 	h.disturbed = append(h.disturbed, time.Now())
 }
 
-func (h *machine) killNode() {
-	h.mu.Lock()
-	c := h.node
-	h.disturbed = append(h.disturbed, time.Now())
-	h.mu.Unlock()
-	_ = c.Process.Kill()
-	reap(c)
-}
-
 // termNode stops the node as planned: SIGTERM, and SIGKILL after graceS.
 func (h *machine) termNode() {
 	h.mu.Lock()
@@ -215,8 +197,7 @@
 	ip := func(i int) string { return fmt.Sprintf("127.%d.%d.%d", a, b, 10+i) }
 	m := &mesh{}
 	m.store = fmt.Sprintf("%s:%d", ip(0), freePort(ip(0)))
-	m.faults = fmt.Sprintf("%s:%d", ip(0), freePort(ip(0)))
-	spawn("store", nil, "platform", "--listen", m.store, "--faults", m.faults)
+	spawn("store", nil, "platform", "--listen", m.store, "--faults", "")
 	eventually("the store listens", 5*time.Second, func() bool {
 		r, err := http.Get("http://" + m.store + "/objects/config")
 		if err != nil {
@@ -226,7 +207,7 @@
 		return true
 	})
 	for i, s := range services {
-		h := &machine{m: m, name: fmt.Sprintf("machine-%d", i+1), zone: fmt.Sprintf("zone-%c", 'a'+i%zones), service: s, ip: ip(i + 1), linkMbps: 1000}
+		h := &machine{m: m, name: fmt.Sprintf("machine-%d", i+1), zone: fmt.Sprintf("zone-%c", 'a'+i%zones), service: s, ip: ip(i + 1)}
 		at := func() string { return fmt.Sprintf("%s:%d", h.ip, freePort(h.ip)) }
 		h.outbound, h.ready, h.control, h.app = at(), at(), at(), at()
 		h.peer, h.metrics = freePort(h.ip), freePort(h.ip)
@@ -235,8 +216,17 @@
 	return m
 }
 
-// putConfig writes the configuration as the operator does.
+// putConfig writes the first configuration as the operator does.
 func (m *mesh) putConfig(version int, routes map[string]any) {
+	m.writeConfig(http.MethodPost, "", version, routes)
+}
+
+// replaceConfig writes a later configuration.
+func (m *mesh) replaceConfig(version int, routes map[string]any) {
+	m.writeConfig(http.MethodPut, "/main", version, routes)
+}
+
+func (m *mesh) writeConfig(method, path string, version int, routes map[string]any) {
 	services := map[string]any{}
 	for _, h := range m.machines {
 		services[h.service] = map[string]any{"healthPath": "/healthz", "maxConnections": 130, "protocol": "h1", "tls": false}
@@ -246,7 +236,9 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": "main"}, "spec": spec})
-	r, err := http.Post("http://"+m.store+"/objects/config", "application/json", bytes.NewReader(body))
+	q, _ := http.NewRequest(method, "http://"+m.store+"/objects/config"+path, bytes.NewReader(body))
+	q.Header.Set("Content-Type", "application/json")
+	r, err := http.DefaultClient.Do(q)
 	if err != nil || r.StatusCode/100 != 2 {
 		cannotRun("the configuration could not be written: %v", err)
 	}
@@ -258,15 +250,6 @@
 	return map[string]any{"host": "desk.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 500, "priority": 1, "service": service, "maxAttempts": attempts}
 }
 
-// setFaults sets the faults of the store.
-func (m *mesh) setFaults(text string) {
-	r, err := http.Post("http://"+m.faults+"/faults", "application/json", bytes.NewReader([]byte(text)))
-	if err != nil || r.StatusCode/100 != 2 {
-		cannotRun("the faults of the store could not be set: %v", err)
-	}
-	r.Body.Close()
-}
-
 // eventually waits until a condition holds.
 func eventually(what string, limit time.Duration, ok func() bool) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/kit2/returns.go
+++ b/review/kit2/returns.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
 
+func init() { cases["returns"] = returns }
+
 // returns: an instance removes its entry, which its node acknowledges and the store keeps, and goes on
 // serving. Its node is stopped as planned and started again. A heartbeat that the instance sent before
 // it removed its entry arrives late. No node may pass a request on to that instance.
@@ -45,5 +48,45 @@
 	_ = h.inst.server.Close()
 	close(stop)
 	clients.Wait()
-	return judgeLeaving(h.inst, acked, acked)
+	return judgeLeaving(h.inst, acked)
+}
+
+// judgeLeaving counts the requests that reached an instance later than drainMs after its leaving was
+// acknowledged, and were sent by machines in touch.
+func judgeLeaving(gone *instance, acked time.Time) string {
+	late, served, first := 0, 0, ""
+	answers.Range(func(_, a any) bool {
+		if a.(answer).status == 200 {
+			served++
+		}
+		return true
+	})
+	arrivalsMu.Lock()
+	defer arrivalsMu.Unlock()
+	for _, a := range arrivals {
+		sent, ok := sentAt.Load(a.id)
+		if !ok || a.inst != gone.id || !a.at.After(acked.Add(drain)) {
+			continue
+		}
+		got, _ := answers.Load(a.id)
+		inTouch, _ := calmThen.Load(a.id)
+		recordMu.Lock()
+		fmt.Fprintf(recordTo, "%8.3f  request %s reaches %s, %.1f s after the acknowledgement; the client gets %v; in touch: %t\n",
+			a.at.Sub(start).Seconds(), a.id, a.inst, a.at.Sub(acked).Seconds(), got, inTouch.(bool) && gone.h.calmAt(sent.(time.Time)))
+		recordMu.Unlock()
+		if inTouch.(bool) && gone.h.calmAt(sent.(time.Time)) {
+			late++
+			if first == "" {
+				first = fmt.Sprintf("%.1f s", a.at.Sub(acked).Seconds())
+			}
+		}
+	}
+	say("%d requests were served; %d reached the instance later than drainMs after the acknowledgement, from machines in touch", served, late)
+	if served == 0 {
+		cannotRun("no request was served")
+	}
+	if late > 0 {
+		return fmt.Sprintf("DRAIN: %d requests reached the instance later than drainMs after its leaving was acknowledged, the first after %s", late, first)
+	}
+	return ""
 }
