--- a/review/kit2/hot.go
+++ b/review/kit2/hot.go
@@ -13,7 +13,10 @@
 // route of that page, which was added later, may not be served less than a quarter as often as the
 // first once all instances are back.
 func hot(trouble bool) string {
-	m := newMesh(2, []string{"order-desk", "order-desk", "order-desk", "order-desk", "pigment-ledger", "pigment-ledger"})
+	m := newMesh(3, []string{
+		"order-desk", "order-desk", "order-desk", "order-desk", "order-desk", "order-desk", "order-desk",
+		"pigment-ledger", "pigment-ledger", "pigment-ledger", "pigment-ledger", "pigment-ledger",
+	})
 	routes := map[string]any{"r-browse": route("/browse/", "idempotent", "order-desk", 1200, 2)}
 	m.putConfig(1, routes)
 	m.startAll()
@@ -56,7 +59,7 @@
 			}
 		})
 	}
-	for k, h := range m.machines[4:] {
+	for k, h := range m.machines[7:] {
 		client(k, h, "/list/", func(int) string { return "/list/all" }, 25*time.Millisecond)
 		client(k, h, "/browse/", func(n int) string { return fmt.Sprintf("/browse/%d-%d", k, n) }, 100*time.Millisecond)
 	}
--- a/review/kit2/returns.go
+++ b/review/kit2/returns.go
@@ -12,7 +12,7 @@
 // serving. Its node is stopped as planned and started again. A heartbeat that the instance sent before
 // it removed its entry arrives late. No node may pass a request on to that instance.
 func returns(trouble bool) string {
-	m := newMesh(2, []string{"order-desk", "order-desk", "order-desk", "order-desk", "pigment-ledger", "pigment-ledger"})
+	m := newMesh(2, []string{"order-desk", "order-desk", "order-desk", "order-desk", "order-desk", "pigment-ledger", "pigment-ledger"})
 	m.putConfig(1, map[string]any{
 		"r-browse": route("/browse/", "idempotent", "order-desk", 1200, 2),
 		"r-batch":  route("/batch/", "idempotent", "pigment-ledger", 1200, 2),
