--- a/review/kit2/head.go
+++ b/review/kit2/head.go
@@ -63,7 +63,7 @@
 		kind := &kinds[j]
 		say("%s %s: %d sent, %d runs at the instances, %d served", kind.method, kind.path, kind.sent.Load(), runs[kind.path[:7]], kind.served.Load())
 	}
-	if share(1) < share(0)/4 {
+	if servedLess(kinds[1].sent.Load(), kinds[1].served.Load(), kinds[0].sent.Load(), kinds[0].served.Load()) {
 		return fmt.Sprintf("CONFIG: %.2f of the requests with %s on the route that was added are served, %.2f on the first one", share(1), method, share(0))
 	}
 	return ""
--- a/review/kit2/hot.go
+++ b/review/kit2/hot.go
@@ -79,7 +79,7 @@
 	for _, p := range []string{"/browse/", "/list/"} {
 		say("%s: %d sent, %d served", p, counts[p].sent.Load(), counts[p].served.Load())
 	}
-	if share("/list/") < share("/browse/")/4 {
+	if servedLess(counts["/list/"].sent.Load(), counts["/list/"].served.Load(), counts["/browse/"].sent.Load(), counts["/browse/"].served.Load()) {
 		return fmt.Sprintf("CONFIG: %.2f of the requests on the route that was added are served, %.2f on the first one", share("/list/"), share("/browse/"))
 	}
 	return ""
--- a/review/kit2/latin.go
+++ b/review/kit2/latin.go
@@ -81,7 +81,9 @@
 		say("%s: %d sent, %d runs, %d served, %d got 502, %d 503, %d 504, %d no answer", p, c.sent.Load(), runs[p[:3]], c.served.Load(), c.s502.Load(), c.s503.Load(), c.s504.Load(), c.none.Load())
 	}
 	share := func(p string) float64 { return float64(counts[p].served.Load()) / float64(counts[p].sent.Load()) }
-	if share("/list/") < (share("/browse/")+share("/order/"))/2/4 {
+	first := func(c func(*count) int64) int64 { return c(counts["/browse/"]) + c(counts["/order/"]) }
+	sent, served := func(c *count) int64 { return c.sent.Load() }, func(c *count) int64 { return c.served.Load() }
+	if servedLess(sent(counts["/list/"]), served(counts["/list/"]), first(sent), first(served)) {
 		return fmt.Sprintf("CONFIG: %.2f of the requests on the route that was added are served, %.2f and %.2f on the first ones", share("/list/"), share("/browse/"), share("/order/"))
 	}
 	return ""
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +27,12 @@
 		os.Exit(2)
 	}
 	time.AfterFunc(115*time.Second, func() { cannotRun("not finished in time") })
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		cannotRun("interrupted")
+	}()
 	run := cases[os.Args[1]]
 	if run == nil {
 		cannotRun("no such case")
@@ -65,3 +73,12 @@
 }
 
 var sentAt, calmThen, answers sync.Map
+
+// servedLess reports whether a route that was added later is served less than a quarter as often as
+// the first ones. It ends the case if there were too few requests, or the first ones were not served.
+func servedLess(sentAdded, servedAdded, sentFirst, servedFirst int64) bool {
+	if sentAdded < 20 || sentFirst < 20 || servedFirst == 0 {
+		cannotRun("%d and %d requests on the two kinds of routes, %d served on the first", sentAdded, sentFirst, servedFirst)
+	}
+	return float64(servedAdded)/float64(sentAdded) < float64(servedFirst)/float64(sentFirst)/4
+}
