Do not take a response that was reset for a complete one

What callers saw: an upstream answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the end of the connection is the end of such a body. Linux reports a reset to one system call only. While the request body is written, that is often the write: its error was used only to drop the connection, and the read that follows returns 0 bytes, as after an orderly close.

Why this works: the connection keeps the error of a write that found it broken, and Read returns it in place of the end of the stream. At the end, Read first ends a write in progress with a deadline and waits for it, so a write that took the error has recorded it.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
+	"github.com/tarragondrum/tarragondrum/pkg/sock"
 )
 
 // FailureKind is the reason why an exchange got no response.
@@ -153,12 +154,13 @@
 }
 
 func newClientConn(c net.Conn) *clientConn {
-	limit := &io.LimitedReader{R: c}
+	reporting := sock.ReportBroken(c)
+	limit := &io.LimitedReader{R: reporting}
 	return &clientConn{
 		conn:      c,
 		limit:     limit,
 		reader:    bufio.NewReaderSize(limit, bufferBytes),
-		writer:    bufio.NewWriterSize(c, bufferBytes),
+		writer:    bufio.NewWriterSize(reporting, bufferBytes),
 		keepAlive: defaultKeepAlive,
 	}
 }
--- a/soak/callers/node_test.go
+++ b/soak/callers/node_test.go
@@ -1,7 +1,8 @@
-// Package callers runs the real program as a separate process on loopback addresses, lets a
-// small number of callers misbehave, and checks that the process lives, that its memory and
-// its open descriptors stay under a bound, and that it answers an ordinary request
-// afterwards. The settings of the process have low limits, so that few callers reach them.
+// Package callers runs the real program as separate processes on loopback addresses, lets a
+// small number of callers or an upstream misbehave, and checks that the processes live, that
+// their memory and their open descriptors stay under a bound, that no caller gets a broken
+// answer, and that ordinary requests are answered. The settings of the processes have low
+// limits, so that few callers reach them.
 package callers
 
 import (
@@ -38,8 +39,13 @@
 	// giveUp bounds the wait for the start and for the ordinary request, so that a process
 	// that hangs fails the test. It is no requirement on time.
 	giveUp = 20 * time.Second
+	// slots is the number of requests that an upstream runs at once.
+	slots = 6
 )
 
+// ordinary is how upstreams answer unless a test says otherwise.
+var ordinary = standin.Behaviour{Work: 50 * time.Millisecond, Size: 20_000}
+
 var (
 	buildOnce sync.Once
 	binary    string
@@ -77,11 +83,38 @@
 	return binary
 }
 
-// node is a process of the real program with a store and an upstream in the test.
+// mesh is the store that the nodes of a test share, in a network of its own.
+type mesh struct {
+	t       *testing.T
+	network int32
+	nodes   int
+	store   string // the address
+}
+
+// newMesh starts a store with a configuration.
+func newMesh(t *testing.T, bodyBytes int) *mesh {
+	t.Helper()
+	m := &mesh{t: t, network: networks.Add(1)}
+	store := standin.NewStore()
+	t.Cleanup(store.Close)
+	var err error
+	if m.store, err = store.Listen(m.ip(1) + ":7000"); err != nil {
+		t.Fatal(err)
+	}
+	store.Put("config", "main", configuration(t, bodyBytes))
+	return m
+}
+
+// ip returns the address of the host with a number from 1 on.
+func (m *mesh) ip(host int) string { return fmt.Sprintf("127.97.%d.%d", m.network, host) }
+
+// node is a process of the real program with an upstream in the test.
 type node struct {
 	t        *testing.T
 	ip       string
 	memoryMB int64
+	// service is that of the upstream.
+	service  string
 	upstream *standin.Upstream
 	command  *exec.Cmd
 	ended    chan struct{}
@@ -101,33 +134,36 @@
 
 // startNodeWith starts a node with other limits.
 func startNodeWith(t *testing.T, memoryMB, bodyBytes int) *node {
+	t.Helper()
+	return newMesh(t, bodyBytes).startNode("desk", memoryMB)
+}
+
+// startNode starts a node beside an upstream of a service and waits until it answers ordinary
+// requests. The first node of a mesh has an upstream of the service "desk".
+func (m *mesh) startNode(service string, memoryMB int) *node {
+	t := m.t
 	t.Helper()
 	program := os.Getenv("CALLERS_BINARY") // another build to compare with
 	if program == "" {
 		program = build(t)
 	}
-	n := &node{t: t, memoryMB: int64(memoryMB), ip: fmt.Sprintf("127.97.0.%d", networks.Add(1)), ended: make(chan struct{}), stop: make(chan struct{})}
-	store := standin.NewStore()
-	t.Cleanup(store.Close)
-	storeAddress, err := store.Listen(n.ip + ":7000")
-	if err != nil {
-		t.Fatal(err)
-	}
-	store.Put("config", "main", configuration(t, bodyBytes))
-	if n.upstream, err = standin.NewUpstream("up-1", "desk", n.ip+":9001", 6); err != nil {
+	m.nodes++
+	n := &node{t: t, memoryMB: int64(memoryMB), service: service, ip: m.ip(m.nodes), ended: make(chan struct{}), stop: make(chan struct{})}
+	var err error
+	if n.upstream, err = standin.NewUpstream(fmt.Sprint("up-", m.nodes), service, n.ip+":9001", slots); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(n.upstream.Close)
-	n.upstream.SetBehaviour(standin.Behaviour{Work: 50 * time.Millisecond, Size: 20_000})
+	n.upstream.SetBehaviour(ordinary)
 	dir := t.TempDir()
 	settings := filepath.Join(dir, "host.jsonc")
 	text := fmt.Sprintf(`{
-  "node": {"id": "host-1", "dataCentre": "dc-1", "region": "r", "ip": %q, "memoryMB": %d, "maxDescriptors": %d, "cpuShare": 0.3, "linkMbps": 1000},
-  "upstream": {"address": "%s:9001", "service": "desk"},
+  "node": {"id": "host-%d", "dataCentre": "dc-1", "region": "r", "ip": %q, "memoryMB": %d, "maxDescriptors": %d, "cpuShare": 0.3, "linkMbps": 1000},
+  "upstream": {"address": "%s:9001", "service": %q},
   "listen": {"outbound": "%s:8081", "ready": "%s:8083", "announce": "%s:8082", "peerPort": 7101, "metricsPort": 9464},
   "store": {"address": %q},
   "bounds": {"graceS": 6, "retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64},
-}`, n.ip, memoryMB, maxDescriptors, n.ip, n.ip, n.ip, n.ip, storeAddress)
+}`, m.nodes, n.ip, memoryMB, maxDescriptors, n.ip, service, n.ip, n.ip, n.ip, m.store)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -159,13 +195,19 @@
 
 func configuration(t *testing.T, bodyBytes int) json.RawMessage {
 	t.Helper()
+	route := func(name, service, kind string) map[string]any {
+		return map[string]any{
+			"host": "a.example", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 4000,
+			"priority": 1, "service": service, "maxAttempts": 2,
+		}
+	}
 	spec, err := json.Marshal(map[string]any{
 		"version": "00000001",
-		"routes": map[string]any{"desk": map[string]any{
-			"host": "a.example", "pathPrefix": "/desk/", "kind": "idempotent", "timeoutMs": 5000, "targetLatencyMs": 4000,
-			"priority": 1, "service": "desk", "maxAttempts": 2,
-		}},
-		"services": map[string]any{"desk": map[string]any{}},
+		"routes": map[string]any{
+			"desk": route("desk", "desk", "idempotent"), "orders": route("orders", "desk", "upload"),
+			"files": route("files", "desk", "download"), "ledger": route("ledger", "ledger", "idempotent"),
+		},
+		"services": map[string]any{"desk": map[string]any{}, "ledger": map[string]any{}},
 		"limits":   map[string]any{"maxHeaderBytes": headerBytes, "maxBodyBytes": bodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
@@ -262,7 +304,7 @@
 	}
 	// Each request has a connection of its own, as that of a caller that has just come.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	for _, address := range []string{n.ip + ":8083" + platform.ReadyPath, n.ip + ":9464/metrics", n.ip + ":8081/desk/x"} {
+	for _, address := range []string{n.ip + ":8083" + platform.ReadyPath, n.ip + ":9464/metrics", n.ip + ":8081/" + n.service + "/x"} {
 		r, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
 		if err != nil {
 			return err
