Refuse requests with a field name that is no token

What callers saw: nothing yet; the cause of the malformed responses was sought where requests are read. A request with "Content-Length : 5" was handled as one without a body, its line was passed on to the upstream, and the bytes of its body were read as the next request.

Cause: as for responses, the parser of the standard library accepts blanks in field names, which hide the framing from one reader and not from the next.

With a real process, TestBrokenRequestHeadIsRefused saw the request behind the malformed head run at the upstream 3 times in 5.

Why this works: the header is checked before the request is handled and the trailer before its body is taken; a name that is no token gives 400 and closes the connection, as any header that cannot be read. FuzzCaller ran for 15 s with the check.

--- a/pkg/h1/field_test.go
+++ b/pkg/h1/field_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -105,3 +106,34 @@
 	is.Equal(r.Header.Values("X-Empty"), []string{""})
 	is.Equal(len(r.Header), 5)
 }
+
+// A request in whose header or trailer a field name is no token is not handled, and nothing behind it
+// is read as a request: a blank hides the framing from one reader and not from the next.
+func TestInvalidNamesOfRequests(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, field := range invalidNames {
+		line := field + ": " + value(field) + "\r\n"
+		for form, text := range map[string]string{
+			"header":  "POST /a HTTP/1.1\r\nHost: h\r\n" + line + "\r\n",
+			"length":  "POST /a HTTP/1.1\r\nHost: h\r\n" + line + "Content-Length: 5\r\n\r\nhello",
+			"trailer": "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + line + "\r\n",
+		} {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				is := is.New(t)
+				s := serve(t, func(_ context.Context, q *h1.Request) *h1.Response {
+					t.Errorf("handled: %s %s %q", q.Method, q.Target, q.Header)
+					return &h1.Response{Status: http.StatusOK, Header: http.Header{}}
+				})
+				_, r := dial(t, s.Address(), text+smuggled)
+				a, err := http.ReadResponse(r, nil)
+				if err == nil {
+					is.Equal(a.StatusCode, http.StatusBadRequest)
+					is.True(a.Close)
+				} else { // a trailer that the parser cannot read closes the connection
+					is.Equal(form, "trailer")
+				}
+				is.Equal(s.Memory.Used(), int64(0))
+			})
+		}
+	}
+}
--- a/pkg/h1/fuzz_test.go
+++ b/pkg/h1/fuzz_test.go
@@ -56,11 +56,17 @@
 	f.Add([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
 	f.Add([]byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.0\r\n\r\n"))
 	f.Add([]byte("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
+	f.Add([]byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"))
 	f.Add([]byte("GET http://[::1/x HTTP/1.1\r\nHost: \x00\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		conn, peer := net.Pipe()
 		s := &Server{
-			Handle:        func(context.Context, *Request) *Response { return &Response{Status: 200, Header: http.Header{}} },
+			Handle: func(_ context.Context, q *Request) *Response {
+				if !HasValidNames(q.Header) {
+					t.Errorf("header %q", q.Header)
+				}
+				return &Response{Status: 200, Header: http.Header{}}
+			},
 			Refuse:        func(status int, _ error) *Response { return &Response{Status: status, Header: http.Header{}} },
 			PanicResponse: func() *Response { return &Response{Status: 502, Header: http.Header{}} },
 			Limits: func() Limits {
--- a/pkg/h1/serverconn.go
+++ b/pkg/h1/serverconn.go
@@ -22,6 +22,8 @@
 	ErrBodyTooLarge   = errors.New("h1: body is too large")
 	ErrNoMemory       = errors.New("h1: no memory for the body")
 	ErrMalformed      = errors.New("h1: request is malformed")
+
+	errRequestFieldName = fmt.Errorf("%w: a field name is not a token", ErrMalformed)
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
@@ -287,6 +289,10 @@
 		}
 		return nil, 0, fmt.Errorf("%w: %s", ErrMalformed, withoutQuotes(err))
 	}
+	if !HasValidNames(r.Header) {
+		c.meter.abort()
+		return nil, 0, errRequestFieldName
+	}
 	cost := headerCost(r.RequestURI, r.Host, r.Header)
 	if !c.meter.end(cost) {
 		c.meter.abort()
@@ -348,7 +354,11 @@
 	}
 	c.limit.N = limits.BodyBytes + int64(limits.HeaderBytes) + bufferBytes
 	b := &bodyReader{conn: c, declared: r.ContentLength}
-	if err := b.read(r.Body, limits); err != nil {
+	err := b.read(r.Body, limits)
+	if err == nil && !HasValidNames(r.Trailer) {
+		err = errRequestFieldName
+	}
+	if err != nil {
 		c.server.Memory.Release(b.held)
 		return nil, 0, err
 	}
--- a/soak/callers/heads_test.go
+++ b/soak/callers/heads_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
@@ -70,3 +73,30 @@
 		}
 	})
 }
+
+// Guards against requests with a blank in a field name, which may hide the body from the node and
+// not from the upstream: what the body holds could then run as a request.
+func TestBrokenRequestHeadIsRefused(t *testing.T) {
+	n := startNode(t)
+	for _, line := range []string{"Content-Length : 5", "Transfer-Encoding : chunked", "X More: 1", "X\tMore: 1", "X\x01More: 1"} {
+		c := n.dial(n.ip + ":8081")
+		if c == nil {
+			t.Fatal("the node does not accept a connection")
+		}
+		_ = c.SetDeadline(time.Now().Add(giveUp))
+		head := n.places()[0].head("broken-head")
+		_, _ = io.WriteString(c, head+line+"\r\n\r\n"+strings.ReplaceAll(head, "broken-head", "smuggled")+"\r\n")
+		text, err := io.ReadAll(c)
+		_ = c.Close()
+		if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 400 ") || strings.Count(string(text), "HTTP/1.1") != 1 {
+			t.Errorf("%q: %q, %v", line, text, err)
+		}
+	}
+	all, _ := n.upstream.Seen()
+	for _, seen := range all {
+		if seen.ID == "broken-head" || seen.ID == "smuggled" {
+			t.Errorf("the upstream got %q", seen.ID)
+		}
+	}
+	n.check()
+}
