Refuse calls and answers of other nodes with invalid field names

What callers saw: nothing yet; the cause of the malformed responses was sought between nodes. While nodes of two builds run side by side, one of the former build passes a response or a request with a blank in a field name on to one of this build.

Cause: the header of a call and of an answer comes as CBOR, whose texts may hold any byte, and was not checked.

Evidence: on TestAnswerWithInvalidNameIsMalformed failed in 10 of 10 cases and TestCallWithInvalidNameDoesNotRun in 5 of 5.

Why this works: such an answer counts as malformed, as one without a final status does, and such a call is refused as not run, with the new reason call-malformed, before memory or a slot is taken for it.

--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/h1"
 	"github.com/tarragondrum/tarragondrum/pkg/memory"
 	"github.com/tarragondrum/tarragondrum/pkg/pack"
 	"github.com/tarragondrum/tarragondrum/pkg/quota"
@@ -183,6 +184,11 @@
 	Memory *memory.Reservation `cbor:"-"`
 }
 
+// isMalformed reports whether an answer says that the call ran, and cannot be that of an upstream.
+func (a *Answer) isMalformed() bool {
+	return a.Outcome == Ran && (!h1.IsFinalStatus(a.Status) || !h1.HasValidNames(a.Header))
+}
+
 // CalledService is a service that a request called while it ran.
 type CalledService struct {
 	Service string `cbor:"1,keyasint"`
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -504,3 +504,52 @@
 		}
 	}
 }
+
+// invalidHeaders have a field name that is no token. A node of an earlier build passes blanks on.
+var invalidHeaders = map[string]http.Header{
+	"blank at the end": {"Content-Length ": {"5"}},
+	"blank inside":     {"X More": {"1"}},
+	"control byte":     {"X\x01More": {"1"}},
+	"line break":       {"X: 1\r\nY": {"1"}},
+	"empty":            {"": {"1"}},
+}
+
+// An answer of another node whose header has an invalid field name is malformed, and the call may
+// have run.
+func TestAnswerWithInvalidNameIsMalformed(t *testing.T) {
+	for name, header := range invalidHeaders {
+		for _, size := range []int{5, 3 * pace.PartBytes} {
+			t.Run(fmt.Sprint(name, size), func(t *testing.T) {
+				is := is.New(t)
+				p := newPair(t, func(context.Context, *link.Call) *link.Answer {
+					return &link.Answer{Outcome: link.Ran, Status: 200, Header: header, Body: make([]byte, size), Load: link.Load{Slots: 7}}
+				})
+				a, err := p.call(context.Background(), "/x")
+				is.NoErr(err)
+				is.Equal(a.Outcome, link.Unknown)
+				is.Equal(a.Reason, link.ReasonAnswerMalformed)
+				is.True(a.ReachedUpstream)
+				is.Equal(len(a.Body)+len(a.Header), 0)
+				is.Equal(a.Load.Slots, 7)
+			})
+		}
+	}
+}
+
+// A call of another node whose header has an invalid field name does not run.
+func TestCallWithInvalidNameDoesNotRun(t *testing.T) {
+	for name, header := range invalidHeaders {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, func(context.Context, *link.Call) *link.Answer {
+				return &link.Answer{Outcome: link.Ran, Status: 200}
+			})
+			a, err := p.peer.Call(context.Background(), &link.Call{Target: "/x", Header: header, RemainingMs: 3000}, 3*time.Second)
+			is.NoErr(err)
+			is.Equal(a.Outcome, link.NotRun)
+			is.Equal(a.Reason, link.ReasonCallMalformed)
+			is.True(!a.ReachedUpstream)
+			is.Equal(p.runs.Load(), int32(0))
+		})
+	}
+}
--- a/pkg/link/opencall.go
+++ b/pkg/link/opencall.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"time"
-
-	"github.com/tarragondrum/tarragondrum/pkg/h1"
 )
 
 // openCall is a call that was sent and has no answer yet.
@@ -101,8 +99,8 @@
 	return nil
 }
 
-// handleAnswer completes a call, or begins to assemble an answer that comes in parts. An answer
-// without a final status is malformed; its further parts are ignored.
+// handleAnswer completes a call, or begins to assemble an answer that comes in parts. The further
+// parts of a malformed answer are ignored.
 func (p *Peer) handleAnswer(id uint64, a *Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,7 +110,7 @@
 	}
 	o.partial.release() // it began on an earlier connection
 	o.partial = nil
-	if a.Outcome == Ran && !h1.IsFinalStatus(a.Status) {
+	if a.isMalformed() {
 		a = &Answer{Outcome: Unknown, Reason: ReasonAnswerMalformed, ReachedUpstream: true, Load: a.Load}
 	}
 	if a.BodySize > len(a.Body) {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -50,6 +50,9 @@
 	// ReasonAnswerMalformed: the upstream sent no valid answer to the call, or another node
 	// passed one on. The call may have run.
 	ReasonAnswerMalformed = "answer-malformed"
+	// ReasonCallMalformed: another node passed on a request with a malformed header. The call did
+	// not run.
+	ReasonCallMalformed = "call-malformed"
 	// ReasonInternal: the handler of the call panicked. The call may have run.
 	ReasonInternal = "internal-error"
 )
@@ -322,6 +325,10 @@
 		c.reply(id, &servedCall{answer: droppedAnswer})
 		return
 	}
+	if !h1.HasValidNames(call.Header) {
+		c.reply(id, &servedCall{answer: &Answer{Outcome: NotRun, Reason: ReasonCallMalformed}})
+		return
+	}
 	held := s.CallMemory.NewReservation()
 	if !held.TryGrow(h1.ForwardedCost(call.Target, call.Host, call.Header, call.Body)) {
 		if s.OnNoMemory != nil {
