Keep bodies without a length in buffers that are counted and used again

Cause: the bytes that had arrived were counted, not the buffers. Each body grew by copying it to a larger one, and the former ones stayed until the next collection, which comes late when much is allocated at once.

Traced: an allocation profile showed that 92 in 100 of the bytes came from the test itself, where io.WriteString copied each block of the stand-in, and 5 from the client. The stand-ins now write shared blocks without a copy; bound and forms are the same.

Why this works: a body arrives in buffers of 32 KB, each taken from the budget before it is filled, and is copied once, when it is complete. An endless body never is, and its buffers are used again.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -276,7 +277,7 @@
 	return errors.Join(errSyntax, err)
 }
 
-// bounds are the maximum sizes of a body with a declared length and of one without.
+// bounds are the maximum sizes in bytes of a body with a declared length and of one without.
 type bounds struct{ sized, unsized int64 }
 
 // bodyBounds returns the limits of the response body to q for a memory budget in bytes.
@@ -297,7 +298,7 @@
 	}
 	if r.ContentLength < 0 {
 		c.limit.N = limits.unsized + maxFramingBytes
-		return c.readUnsized(r.Body, held, limits.unsized)
+		return c.readUnsized(r.Body, held, limits)
 	}
 	c.limit.N = limits.sized
 	if err := held.Acquire(ctx, r.ContentLength); err != nil {
@@ -310,31 +311,56 @@
 	return body, nil
 }
 
+// bodyPartBytes is the size of the buffers in which a body without a declared length arrives.
+const bodyPartBytes = 32 << 10
+
+// bodyParts are buffers that are not in use. An endless body would otherwise leave its buffers as
+// garbage faster than it is collected.
+var bodyParts = sync.Pool{New: func() any { return new([bodyPartBytes]byte) }}
+
 // readUnsized reads a body without a declared length and reserves memory as it arrives. It
 // fails at once if there is none.
-func (c *clientConn) readUnsized(body io.Reader, held *memory.Reservation, maxSize int64) ([]byte, error) {
-	var all []byte
-	part := make([]byte, bufferBytes)
-	start := c.unread()
+func (c *clientConn) readUnsized(body io.Reader, held *memory.Reservation, limits bounds) ([]byte, error) {
+	var parts []*[bodyPartBytes]byte
+	defer func() {
+		for _, p := range parts {
+			bodyParts.Put(p)
+		}
+	}()
+	size, start := int64(0), c.unread()
 	for {
-		n, err := body.Read(part)
-		if n > 0 && !held.TryGrow(int64(n)) {
-			return nil, errNoMemory
+		used := int(size % bodyPartBytes)
+		if size == int64(len(parts))*bodyPartBytes {
+			if !held.TryGrow(bodyPartBytes) {
+				return nil, errNoMemory
+			}
+			parts = append(parts, bodyParts.Get().(*[bodyPartBytes]byte))
 		}
-		all = append(all, part[:n]...)
+		n, err := body.Read(parts[len(parts)-1][used:])
+		size += int64(n)
 		switch {
-		case int64(len(all)) > maxSize:
-			return nil, fmt.Errorf("over %d bytes: %w", maxSize, errTooLarge)
-		case start-c.unread()-int64(len(all)) > maxFramingBytes:
+		case size > limits.unsized:
+			return nil, fmt.Errorf("over %d bytes: %w", limits.unsized, errTooLarge)
+		case start-c.unread()-size > maxFramingBytes:
 			return nil, fmt.Errorf("over %d bytes of framing: %w", maxFramingBytes, errTooLarge)
 		case errors.Is(err, io.EOF):
-			return all, nil
+			held.Shrink(int64(len(parts))*bodyPartBytes - size)
+			return join(parts, size), nil
 		case err != nil:
 			return nil, fmt.Errorf("read body: %w", c.readError(err))
 		}
 	}
 }
 
+// join returns a copy of the first size bytes of the parts.
+func join(parts []*[bodyPartBytes]byte, size int64) []byte {
+	whole := make([]byte, 0, size)
+	for _, p := range parts {
+		whole = append(whole, p[:min(bodyPartBytes, size-int64(len(whole)))]...)
+	}
+	return whole
+}
+
 // unread returns the number of bytes that the parser may still read of the message.
 func (c *clientConn) unread() int64 { return c.limit.N + int64(c.reader.Buffered()) }
 
--- a/pkg/h1/endless_test.go
+++ b/pkg/h1/endless_test.go
@@ -41,16 +41,18 @@
 	"no HTTP":               {"", strings.Repeat("\x00\xff", 500)},
 }
 
-// writeEndless writes first and then repeated again and again until the reader closes the
+// blockOf returns the repeated part of an endless response as often as it is written at once.
+func blockOf(repeated string) []byte { return []byte(strings.Repeat(repeated, 1+32<<10/len(repeated))) }
+
+// writeEndless writes first and then block again and again until the reader closes the
 // connection. It returns the number of bytes written.
-func writeEndless(c net.Conn, first, repeated string) int64 {
-	block := strings.Repeat(repeated, 1+32<<10/len(repeated))
+func writeEndless(c net.Conn, first string, block []byte) int64 {
 	if _, err := io.WriteString(c, first); err != nil {
 		return 0
 	}
 	written := int64(0)
 	for {
-		n, err := io.WriteString(c, block)
+		n, err := c.Write(block)
 		written += int64(n)
 		if err != nil {
 			return written
@@ -67,7 +69,7 @@
 			is := is.New(t)
 			written := make(chan int64, 1)
 			address, _ := startUpstream(t, func(c net.Conn, _ string, _ []byte) {
-				written <- writeEndless(c, e.first, e.repeated)
+				written <- writeEndless(c, e.first, blockOf(e.repeated))
 			})
 			answers := memory.New(budget)
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -89,14 +91,20 @@
 func TestManyEndlessAnswersBesideGoodOnes(t *testing.T) {
 	is := is.New(t)
 	const connections, budget = 200, 8 << 20
-	kinds := make([]struct{ first, repeated string }, 0, len(endless))
+	// The upstreams share their blocks, and write them without a copy, as the heap of the test is
+	// measured.
+	type kind struct {
+		first string
+		block []byte
+	}
+	kinds := make([]kind, 0, len(endless))
 	for _, e := range endless {
-		kinds = append(kinds, e)
+		kinds = append(kinds, kind{e.first, blockOf(e.repeated)})
 	}
 	var next atomic.Int32
 	bad, _ := startUpstream(t, func(c net.Conn, _ string, _ []byte) {
 		e := kinds[int(next.Add(1))%len(kinds)]
-		writeEndless(c, e.first, e.repeated)
+		writeEndless(c, e.first, e.block)
 	})
 	good, _ := startUpstream(t, func(c net.Conn, id string, _ []byte) { write(c, answer(id, strings.Repeat("x", 5000))) })
 	answers := memory.New(budget)
@@ -133,8 +141,10 @@
 	// Besides the bodies, the heap holds heads of limited size, and garbage that is not
 	// collected yet, for which the factor of 3 leaves room.
 	const heads = connections * 64 << 10
-	if grown := int64(most.Load()) - int64(before.HeapInuse); grown > 3*(budget+heads) {
-		t.Fatalf("the heap grew by %d bytes", grown)
+	grown := int64(most.Load()) - int64(before.HeapInuse)
+	t.Logf("the heap grew by %d bytes", grown)
+	if grown > 3*(budget+heads) {
+		t.Fatalf("%d bytes allowed", 3*(budget+heads))
 	}
 }
 
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -162,6 +162,12 @@
 	return nil
 }
 
+// Shrink returns n of the bytes to the budget, when the message turns out to be smaller.
+func (h *Reservation) Shrink(n int64) {
+	h.bytes.Add(-n)
+	h.budget.Release(n)
+}
+
 // Release returns all bytes to the budget. It may be called more than once.
 func (h *Reservation) Release() {
 	if h == nil {
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -38,3 +38,16 @@
 	is.Equal(b.Used(), int64(2))
 	is.True(b.Acquire(context.Background(), 11) != nil)
 }
+
+// A message that turns out to be smaller returns the rest of its bytes at once.
+func TestShrink(t *testing.T) {
+	is := is.New(t)
+	b := memory.New(10)
+	held := b.NewReservation()
+	is.True(held.TryGrow(8))
+	held.Shrink(5)
+	is.Equal(b.Used(), int64(3))
+	is.True(held.TryGrow(7))
+	held.Release()
+	is.Equal(b.Used(), int64(0))
+}
