Leave memory to other responses beside endless ones

What callers saw: requests of other callers, whose answers came from another node, failed with 502 no-memory while an upstream sent bodies without end.

Cause: the bodies without a length that were being read could take the whole budget for answers together. An answer that came then had no memory.

Why this works: the buffers of such a body after its first one leave an eighth of the budget free, as the bodies of callers do.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -63,6 +63,9 @@
 	// maxBodyShare is the maximum share of the response memory budget that one body takes.
 	maxBodyBytes = 32 << 20
 	maxBodyShare = 0.5
+	// unsizedReserve is the share of the response memory budget that bodies without a declared
+	// length leave to other responses, so that endless ones cannot take all of it.
+	unsizedReserve = 0.125
 	// maxUnsizedBodyBytes is the maximum size of a response body without a declared length,
 	// unless the route allows large answers. One core reads that much in 10 to 17 ms.
 	maxUnsizedBodyBytes = 4 << 20
@@ -278,15 +281,20 @@
 }
 
 // bounds are the maximum sizes in bytes of a body with a declared length and of one without.
-type bounds struct{ sized, unsized int64 }
+type bounds struct {
+	sized, unsized int64
+	// reserve is the part of the memory budget that bodies without a declared length leave free.
+	reserve int64
+}
 
 // bodyBounds returns the limits of the response body to q for a memory budget in bytes.
 func bodyBounds(q *Request, budget int64) bounds {
 	maxSize := min(maxBodyBytes, int64(maxBodyShare*float64(budget)))
-	if q.LargeAnswer {
-		return bounds{sized: maxSize, unsized: maxSize}
+	b := bounds{sized: maxSize, unsized: maxSize, reserve: int64(unsizedReserve * float64(budget))}
+	if !q.LargeAnswer {
+		b.unsized = min(maxSize, maxUnsizedBodyBytes)
 	}
-	return bounds{sized: maxSize, unsized: min(maxSize, maxUnsizedBodyBytes)}
+	return b
 }
 
 // readBody reads the body of a response and reserves memory for it in held. If the length
@@ -331,7 +339,11 @@
 	for {
 		used := int(size % bodyPartBytes)
 		if size == int64(len(parts))*bodyPartBytes {
-			if !held.TryGrow(bodyPartBytes) {
+			reserve := limits.reserve
+			if len(parts) == 0 {
+				reserve = 0 // most bodies are small
+			}
+			if !held.TryGrowLeaving(bodyPartBytes, reserve) {
 				return nil, errNoMemory
 			}
 			parts = append(parts, bodyParts.Get().(*[bodyPartBytes]byte))
--- a/pkg/h1/endless_test.go
+++ b/pkg/h1/endless_test.go
@@ -183,3 +183,39 @@
 		})
 	}
 }
+
+// Endless responses without a declared length leave memory to a response with a length, which
+// would otherwise fail or wait while they hold the budget.
+func TestEndlessAnswersLeaveMemory(t *testing.T) {
+	const connections, budget, size = 32, 8 << 20, 512 << 10
+	is := is.New(t)
+	bad, _ := startUpstream(t, func(c net.Conn, _ string, _ []byte) {
+		write(c, head+"\r\n"+strings.Repeat("x", 1<<20))
+		_, _ = io.Copy(io.Discard, c) // as much as an endless one has sent so far
+	})
+	good, _ := startUpstream(t, func(c net.Conn, id string, _ []byte) { write(c, answer(id, strings.Repeat("x", size))) })
+	answers := memory.New(budget)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var all sync.WaitGroup
+	for range connections {
+		all.Go(func() {
+			_, failure := h1.NewPool(bad, answers, func() {}).Exchange(ctx, request("me"), idHeader, false)
+			if failure == nil {
+				t.Error("a response that has not ended was accepted")
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	is.True(answers.Used() > budget/2)
+	r, failure := h1.NewPool(good, answers, func() {}).Exchange(ctx, request("me"), idHeader, false)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	is.NoErr(ctx.Err())
+	is.Equal(len(r.Body), size)
+	r.Held.Release()
+	cancel()
+	all.Wait()
+	is.Equal(answers.Used(), int64(0))
+}
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -46,16 +46,7 @@
 // TryAcquire takes n bytes without waiting and reports whether they were available. It fails while
 // others wait, so that they are served first.
 func (b *Budget) TryAcquire(n int64) bool {
-	if b == nil {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.waiters) > 0 || b.used+n > b.limit {
-		return false
-	}
-	b.used += n
-	return true
+	return b.TryAcquireLeaving(n, 0)
 }
 
 // TryAcquireLeaving does the same as TryAcquire, but only if reserve bytes are left afterwards.
@@ -145,8 +136,11 @@
 func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
 
 // TryGrow takes n more bytes without waiting and reports whether they were available.
-func (h *Reservation) TryGrow(n int64) bool {
-	if !h.budget.TryAcquire(n) {
+func (h *Reservation) TryGrow(n int64) bool { return h.TryGrowLeaving(n, 0) }
+
+// TryGrowLeaving does the same as TryGrow, but only if reserve bytes are left afterwards.
+func (h *Reservation) TryGrowLeaving(n, reserve int64) bool {
+	if !h.budget.TryAcquireLeaving(n, reserve) {
 		return false
 	}
 	h.bytes.Add(n)
