Move the buffers of bodies of unknown size to pkg/memory

Cause: the client of the store needs them as well, for answers that do not end. No change of what they do: TestManyEndlessAnswersBesideGoodOnes and TestEndlessAnswersLeaveMemory pass as before, and TestBufferReturnsWhatWasRead and TestBufferLeavesTheReserve cover the part by itself.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -319,60 +318,29 @@
 	return body, nil
 }
 
-// bodyPartBytes is the size of the buffers in which a body without a declared length arrives.
-const bodyPartBytes = 32 << 10
-
-// bodyParts are buffers that are not in use. An endless body would otherwise leave its buffers as
-// garbage faster than it is collected.
-var bodyParts = sync.Pool{New: func() any { return new([bodyPartBytes]byte) }}
-
 // readUnsized reads a body without a declared length and reserves memory as it arrives. It
 // fails at once if there is none.
 func (c *clientConn) readUnsized(body io.Reader, held *memory.Reservation, limits bounds) ([]byte, error) {
-	var parts []*[bodyPartBytes]byte
-	defer func() {
-		for _, p := range parts {
-			bodyParts.Put(p)
-		}
-	}()
-	size, start := int64(0), c.unread()
+	b := memory.NewBuffer(held)
+	defer b.Close()
+	start := c.unread()
 	for {
-		used := int(size % bodyPartBytes)
-		if size == int64(len(parts))*bodyPartBytes {
-			reserve := limits.reserve
-			if len(parts) == 0 {
-				reserve = 0 // most bodies are small
-			}
-			if !held.TryGrowLeaving(bodyPartBytes, reserve) {
-				return nil, errNoMemory
-			}
-			parts = append(parts, bodyParts.Get().(*[bodyPartBytes]byte))
-		}
-		n, err := body.Read(parts[len(parts)-1][used:])
-		size += int64(n)
+		err := b.ReadOnce(body, limits.reserve)
 		switch {
-		case size > limits.unsized:
+		case errors.Is(err, memory.ErrExhausted):
+			return nil, errNoMemory
+		case b.Len() > limits.unsized:
 			return nil, fmt.Errorf("over %d bytes: %w", limits.unsized, errTooLarge)
-		case start-c.unread()-size > maxFramingBytes:
+		case start-c.unread()-b.Len() > maxFramingBytes:
 			return nil, fmt.Errorf("over %d bytes of framing: %w", maxFramingBytes, errTooLarge)
 		case errors.Is(err, io.EOF):
-			held.Shrink(int64(len(parts))*bodyPartBytes - size)
-			return join(parts, size), nil
+			return b.Bytes(), nil
 		case err != nil:
 			return nil, fmt.Errorf("read body: %w", c.readError(err))
 		}
 	}
 }
 
-// join returns a copy of the first size bytes of the parts.
-func join(parts []*[bodyPartBytes]byte, size int64) []byte {
-	whole := make([]byte, 0, size)
-	for _, p := range parts {
-		whole = append(whole, p[:min(bodyPartBytes, size-int64(len(whole)))]...)
-	}
-	return whole
-}
-
 // unread returns the number of bytes that the parser may still read of the message.
 func (c *clientConn) unread() int64 { return c.limit.N + int64(c.reader.Buffered()) }
 
