--- a/soak/callers/pair_test.go
+++ b/soak/callers/pair_test.go
@@ -17,7 +17,13 @@
 // the requests of callers at the second one pass two nodes.
 func startPair(t *testing.T, memoryMB, bodyBytes int) (one, two *node) {
 	t.Helper()
-	m := newMesh(t, bodyBytes)
+	return newMesh(t, bodyBytes).startPair(memoryMB)
+}
+
+// startPair starts the first two nodes of a mesh.
+func (m *mesh) startPair(memoryMB int) (one, two *node) {
+	t := m.t
+	t.Helper()
 	one, two = m.startNode("desk", memoryMB), m.startNode("ledger", memoryMB)
 	for end := time.Now().Add(giveUp); two.ask(http.MethodGet, "/desk/x", nil).status != http.StatusOK; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
