Bound the head of the answer to a connection between nodes

What callers saw: nothing yet; bytes without end were sought between nodes. What answers at the address of a node may be no node. It could make each node that connects take a head of 10 MB, which is parsed to many times as much, from each address at once.

Cause: the default of net/http for the head of an answer.

Why this works: the head may have 16 KB, as that of a node that connects. The server of the connections was bounded before.

--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -148,6 +148,7 @@
 	}
 	p.client = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DialTLSContext: p.dialTLS(dialer), DisableKeepAlives: true,
+		MaxResponseHeaderBytes: maxUpgradeBytes,
 	}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	go p.run()
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -31,8 +31,8 @@
 	// orphanGrace is how long an idempotent call keeps running after its connection was lost;
 	// by then the calling node has retried it elsewhere. Other calls run to their deadline.
 	orphanGrace = 700 * time.Millisecond
-	// maxUpgradeBytes is the maximum size of the header with which a node connects, which has
-	// some hundred bytes.
+	// maxUpgradeBytes is the maximum size of the header with which a node connects, and of that of
+	// the answer. Each has some hundred bytes.
 	maxUpgradeBytes = 16 << 10
 	// sentRetention is how long a large answer to an idempotent call is kept after it was
 	// written. The connection may still break before the calling node has read it.
