Refuse heartbeats and operators' requests with invalid field names

What callers saw: nothing yet; the cause of the malformed responses was sought on the listeners for heartbeats, readiness and metrics. A request with a control byte in a field name was served there; where it hid the length of the body, the body was read as the next request.

Cause: the parser of hertz refuses blanks in a name and accepts control bytes, separators and bytes above 127.

Why this works: names are checked before a request is handled; one that is no token gives 400, closes the connection and counts as malformed.

--- a/pkg/h1/field.go
+++ b/pkg/h1/field.go
@@ -7,15 +7,15 @@
 // it: with "Content-Length : 5" it takes a message to have no length.
 func HasValidNames(h http.Header) bool {
 	for name, values := range h {
-		if len(values) > 0 && !isToken(name) { // a trailer that was announced and not sent has no value
+		if len(values) > 0 && !IsToken(name) { // a trailer that was announced and not sent has no value
 			return false
 		}
 	}
 	return true
 }
 
-// isToken reports whether s consists of one or more characters that HTTP allows in a name.
-func isToken(s string) bool {
+// IsToken reports whether s consists of one or more characters that HTTP allows in a name.
+func IsToken(s string) bool {
 	for i := range len(s) {
 		if !isTokenByte[s[i]] {
 			return false
--- a/pkg/httpserver/bounds.go
+++ b/pkg/httpserver/bounds.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Reasons for which a connection is closed without an answer.
+// Reasons for which a connection is closed, without an answer unless one is named.
 const (
 	// ReasonConnections: as many connections are open as are allowed, and this one has waited
 	// the longest without an answer.
@@ -16,6 +16,8 @@
 	ReasonRequestTime = "request-time"
 	// ReasonAnswerUnread: the caller did not read an answer within Bounds.RequestTime.
 	ReasonAnswerUnread = "answer-unread"
+	// ReasonMalformed: a request has a field name that is no token. It was answered with 400.
+	ReasonMalformed = "malformed"
 )
 
 // Bounds limit what callers may take of a server. A value of 0 means the default.
--- a/pkg/httpserver/bounds_test.go
+++ b/pkg/httpserver/bounds_test.go
@@ -203,3 +203,23 @@
 	_, r := dial(t, address, "GET /x HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 4000)+"\r\n\r\n")
 	is.True(status(t, r) >= http.StatusBadRequest)
 }
+
+// A request with a field name that is no token is refused, and what follows it on the connection is
+// not read as a request.
+func TestInvalidFieldNamesAreRefused(t *testing.T) {
+	for _, line := range []string{
+		"Content-Length : 30", "Content-Length\t: 30", "Content-Len\rgth: 30", "Transfer-Encoding : chunked",
+		"X More: 1", "X\tMore: 1", "X\x01More: 1", "X\x00More: 1", "X(More): 1", "X-Mor\xe9: 1",
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			address := start(t, httpserver.Bounds{RequestTime: 5 * time.Second}, plain)
+			c, _ := dial(t, address, "POST /x HTTP/1.1\r\nHost: h\r\n"+line+"\r\n\r\n"+get)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+			text, err := io.ReadAll(c)
+			is.True(err == nil || errors.Is(err, syscall.ECONNRESET)) // closed
+			is.True(strings.HasPrefix(string(text), "HTTP/1.1 400 "))
+			is.Equal(strings.Count(string(text), "HTTP/1.1 "), 1)
+		})
+	}
+}
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -7,12 +7,16 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"github.com/tarragondrum/tarragondrum/pkg/h1"
 )
 
 // pollInterval is the interval at which a starting server is checked for whether it runs.
@@ -55,11 +59,28 @@
 		addr:  ln.Addr().String(),
 		done:  make(chan error, 1),
 	}
+	s.hertz.Use(refuseMalformed(bounds.OnRefuse))
 	register(s.hertz)
 	go func() { s.done <- s.hertz.Run() }()
 	return s, s.waitRunning(ln)
 }
 
+// refuseMalformed returns a handler that refuses requests with a field name that is no token and
+// closes their connections. The parser of hertz refuses blanks and accepts control bytes.
+func refuseMalformed(onRefuse func(reason string)) app.HandlerFunc {
+	return func(ctx context.Context, rc *app.RequestContext) {
+		valid := true
+		rc.Request.Header.VisitAll(func(name, _ []byte) { valid = valid && h1.IsToken(string(name)) })
+		if valid {
+			rc.Next(ctx)
+			return
+		}
+		onRefuse(ReasonMalformed)
+		rc.SetConnectionClose()
+		rc.AbortWithStatus(http.StatusBadRequest)
+	}
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.addr }
 
