Bound the memory of frames that arrive from other nodes

What callers saw: nothing yet; bytes without end were sought between nodes. What connects as a node, and sends a message that does not end, made a process of the smallest host, 112 MB, take 265.8 MB with one connection and 1736 MB with eight; its end would have ended the requests of all its callers.

Cause: a frame was read whole, up to 96 MB, into buffers that grew by copying, on each connection by itself. Only the call in it counted against a budget.

Why this works: frames arrive in buffers that are taken from a tenth of the host's memory; large ones leave a quarter of that to others, and one for which there is no memory ends its connection. Bodies of calls and answers come in parts of 16 KB, and a compressed configuration or host table has some hundred KB, so that no frame of a node comes near the bound.

--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -39,10 +39,11 @@
 )
 
 const (
-	// heapShare is the part of the host's memory for the heap, and answerShare for the bodies
-	// of answers.
+	// heapShare is the part of the host's memory for the heap, answerShare for the bodies of
+	// answers, and frameShare for frames of other nodes while they arrive.
 	heapShare   = 0.6
 	answerShare = 0.2
+	frameShare  = 0.1
 	// gcPercent is the growth of the heap, in percent, after which garbage is collected. The live
 	// heap is small, so collecting twice as often as by default costs little processor time and
 	// lowers the peak of a node's memory by a seventh.
@@ -85,6 +86,8 @@
 	// the host's link.
 	answers *memory.Budget
 	uplink  *pace.Uplink
+	// frames bounds the memory of all frames that are being received from other nodes.
+	frames *memory.Budget
 	// bodies bounds the memory of all requests in progress, and downlink schedules the large ones
 	// that other nodes send to this host.
 	bodies   *memory.Budget
@@ -140,6 +143,7 @@
 		n.credentials.Revoke(s.Peers.RevokedSerials())
 	}
 	n.answers = memory.New(int64(answerShare * float64(s.Node.MemoryMB) * (1 << 20)))
+	n.frames = memory.New(int64(frameShare * float64(s.Node.MemoryMB) * (1 << 20)))
 	n.uplink = pace.NewUplink(s.Node.LinkMbps)
 	n.observer.watchLoads(n.registry, n.answers, n.uplink)
 	limits := s.Effective()
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -67,7 +67,7 @@
 	return link.Identity{
 		Node: p.node.settings.Load().Node.ID, Incarnation: func() int64 { return p.node.processID },
 		Monitor: p.monitor, Credentials: p.node.credentials, Uplink: p.node.uplink, AnswerBudget: p.node.answers,
-		Downlink: p.node.downlink, BodyBudget: p.node.bodies, ObserveBody: p.node.observer.bodies.received,
+		Downlink: p.node.downlink, BodyBudget: p.node.bodies, FrameBudget: p.node.frames, ObserveBody: p.node.observer.bodies.received,
 		ReportPanic:      p.node.panicked,
 		ObserveQueueTime: func(d time.Duration) { p.node.observer.linkWaits.Observe(d.Seconds()) },
 	}
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -76,6 +76,9 @@
 	Downlink *pace.Downlink
 	// BodyBudget limits the memory for requested bodies.
 	BodyBudget *memory.Budget
+	// FrameBudget limits the memory for the frames that are being received. A frame that does not fit
+	// ends its connection.
+	FrameBudget *memory.Budget
 	// ObserveBody is called with the size of a requested body, the time that it took, and the error
 	// if it is not complete; may be nil.
 	ObserveBody func(bytes int, took time.Duration, err error)
--- a/pkg/link/session.go
+++ b/pkg/link/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/tarragondrum/tarragondrum/pkg/guard"
+	"github.com/tarragondrum/tarragondrum/pkg/memory"
 	"github.com/tarragondrum/tarragondrum/pkg/pace"
 )
 
@@ -52,6 +54,10 @@
 	start        time.Time
 	// observeWait is called with the time that a frame spent in the queue; may be nil.
 	observeWait func(time.Duration)
+	// frames is the memory of the frames that are being read, and frameHeld that of the current one
+	// of this connection.
+	frames    *memory.Budget
+	frameHeld *memory.Reservation
 	// checkPeer fails once the peer's certificate is revoked; nil without TLS.
 	checkPeer func() error
 	// reportPanic is called with panics while a message is handled; may be nil.
@@ -68,6 +74,7 @@
 func newSession(ctx context.Context, ws *websocket.Conn, self *Identity) *session {
 	ws.SetReadLimit(maxFrameBytes)
 	s := &session{ws: ws, uplink: self.Uplink, downlink: self.Downlink, start: time.Now(), observeWait: self.ObserveQueueTime, reportPanic: self.ReportPanic}
+	s.frames, s.frameHeld = self.FrameBudget, self.FrameBudget.NewReservation()
 	s.queue.added, s.large.added = make(chan struct{}, 1), make(chan struct{}, 1)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	return s
@@ -182,20 +189,47 @@
 // readLoop passes each frame to handle until the connection ends or handle fails.
 func (s *session) readLoop(handle func(*frame) error) {
 	for {
-		_, data, err := s.ws.Read(s.ctx)
+		data, err := s.readFrame()
 		if err != nil {
+			s.frameHeld.Release()
 			s.cancel(err)
 			return
 		}
 		s.lastReceived.Store(int64(time.Since(s.start)))
 		s.notifyReceived()
-		if err := s.handleMessage(data, handle); err != nil {
+		err = s.handleMessage(data, handle)
+		s.frameHeld.Release()
+		if err != nil {
 			s.cancel(err)
 			return
 		}
 	}
 }
 
+// frameReserve is the share of the memory for frames that large frames leave to others.
+const frameReserve = 0.25
+
+// readFrame reads the next frame. It fails if there is no memory left for it.
+func (s *session) readFrame() ([]byte, error) {
+	_, r, err := s.ws.Reader(s.ctx)
+	if err != nil {
+		return nil, err
+	}
+	b := memory.NewBuffer(s.frameHeld)
+	defer b.Close()
+	reserve := int64(frameReserve * float64(s.frames.Limit()))
+	for {
+		switch err := b.ReadOnce(r, reserve); {
+		case errors.Is(err, io.EOF):
+			return b.Bytes(), nil
+		case errors.Is(err, memory.ErrExhausted):
+			return nil, fmt.Errorf("link: no memory for a frame after %d bytes: %w", b.Len(), err)
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // handleMessage decodes and handles one message. An error ends the connection. So does a
 // panic, because it is unknown which of the message's effects took place.
 func (s *session) handleMessage(data []byte, handle func(*frame) error) error {
