Keep the newest removals of hosts, not the first 4096

A node that had missed a removal then brought the deleted host back everywhere, and requests were sent to it until it was found unreachable.

Cause: Table.Remove kept a removal only while there was room, and nothing made room. A removal that arrived late or once more also replaced a later one, so that records between the two were taken again.

Fix: the removals are a queue of 4,096 hosts, from which the first is dropped; one that a later removal covers changes nothing.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -118,17 +118,12 @@
 	return h.Incarnation < r.Incarnation || h.Incarnation == r.Incarnation && h.Change <= r.Change
 }
 
-// maxRemovals is the maximum number of removals that a table keeps. It is far above the
-// number of removals in the time during which a node that missed one may still send the
-// deleted record. Further removals take effect but are not kept.
-const maxRemovals = 4096
-
 // Table holds the newest record of each host. It is safe for concurrent use.
 type Table struct {
 	mu    sync.Mutex
 	hosts map[string]Host
 	// removals holds the newest removal of each deleted host.
-	removals map[string]Removal
+	removals removalLog
 	// snapshot is the copy that lookups read without a lock. It is nil after a change until
 	// the next lookup.
 	snapshot atomic.Pointer[snapshot]
@@ -146,7 +141,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{hosts: make(map[string]Host), removals: make(map[string]Removal)}
+	return &Table{hosts: make(map[string]Host), removals: newRemovalLog()}
 }
 
 // Merge adds a record to the table and reports whether it changed the table. Records that
@@ -157,11 +152,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.removals[h.Node]; ok {
+	if r, ok := t.removals.get(h.Node); ok {
 		if r.Covers(&h) {
 			return false
 		}
-		delete(t.removals, h.Node)
+		t.removals.delete(h.Node)
 	}
 	old, ok := t.hosts[h.Node]
 	if ok && !h.IsNewer(&old) {
@@ -206,9 +201,7 @@
 	if ok && !r.Covers(&old) {
 		return false
 	}
-	if len(t.removals) < maxRemovals {
-		t.removals[r.Node] = r
-	}
+	t.removals.add(r)
 	if ok {
 		t.digest ^= old.Digest()
 	}
@@ -221,7 +214,7 @@
 func (t *Table) Removed(h Host) (Removal, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.removals[h.Node]
+	r, ok := t.removals.get(h.Node)
 	return r, ok && r.Covers(&h)
 }
 
