--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -82,6 +82,10 @@
 	return h.Change > old.Change
 }
 
+// IsLeavingOrGone reports whether the upstream accepts no new requests and will not do so
+// again.
+func (u *Upstream) IsLeavingOrGone() bool { return u.State == StateLeaving || u.State == StateGone }
+
 // Usable reports whether requests may be sent to the upstream.
 func (h *Host) Usable() bool { return !h.Stopping && h.Upstream.State == StateReady }
 
@@ -105,19 +109,6 @@
 	return v.Change > other.Change
 }
 
-// Removal records the deletion of a host. It applies to all versions of the host's record
-// up to and including the one that it names.
-type Removal struct {
-	Node        string `cbor:"1,keyasint"`
-	Incarnation int64  `cbor:"2,keyasint"`
-	Change      int64  `cbor:"3,keyasint,omitempty"`
-}
-
-// Covers reports whether the removal applies to the version of a record.
-func (r *Removal) Covers(h *Host) bool {
-	return h.Incarnation < r.Incarnation || h.Incarnation == r.Incarnation && h.Change <= r.Change
-}
-
 // Table holds the newest record of each host. It is safe for concurrent use.
 type Table struct {
 	mu    sync.Mutex
@@ -152,21 +143,19 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.removals.get(h.Node); ok {
-		if r.Covers(&h) {
-			return false
-		}
-		t.removals.delete(h.Node)
+	if r, ok := t.removals.get(h.Node); ok && r.Covers(&h) {
+		return false
 	}
 	old, ok := t.hosts[h.Node]
 	if ok && !h.IsNewer(&old) {
 		return false
 	}
-	if ok && Supersedes(old.Upstream, h.Upstream) {
+	if former, knowsMore := t.former(&h); knowsMore {
 		// A node that has just restarted may not know a state of the upstream that it
 		// received before the restart.
-		h.Upstream = old.Upstream
+		h.Upstream = former.Upstream
 	}
+	t.removals.delete(h.Node)
 	if ok {
 		t.digest ^= old.Digest()
 	}
@@ -201,12 +190,14 @@
 	if ok && !r.Covers(&old) {
 		return false
 	}
-	t.removals.add(r)
 	if ok {
+		r = r.merge(old.Removal(r.AtUnixMs))
 		t.digest ^= old.Digest()
+		delete(t.hosts, r.Node)
+	}
+	if t.removals.add(r) || ok {
+		t.invalidate()
 	}
-	delete(t.hosts, r.Node)
-	t.invalidate()
 	return ok
 }
 
@@ -218,6 +209,35 @@
 	return r, ok && r.Covers(&h)
 }
 
+// Departures returns the newest removals of hosts of a data centre whose upstreams were
+// leaving or gone, sorted by time and node.
+func (t *Table) Departures(dataCentre string) []Removal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.removals.departures(dataCentre)
+}
+
+// Former returns what is known of a host from before a record of it, if that has a later
+// state of the upstream than the record. The record then comes from a node that has just
+// restarted and does not know what its former process had received.
+func (t *Table) Former(h Host) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.former(&h)
+}
+
+// former is Former for a caller that holds mu.
+func (t *Table) former(h *Host) (Host, bool) {
+	if old, ok := t.hosts[h.Node]; ok {
+		return old, Supersedes(old.Upstream, h.Upstream)
+	}
+	r, ok := t.removals.get(h.Node)
+	if !ok || r.Upstream == nil || !Supersedes(*r.Upstream, h.Upstream) {
+		return Host{}, false
+	}
+	return r.Record(*h), true
+}
+
 // Get returns the record of a host.
 func (t *Table) Get(node string) (Host, bool) {
 	t.mu.Lock()
--- a/pkg/fleet/removal_test.go
+++ b/pkg/fleet/removal_test.go
@@ -1,23 +1,69 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 )
 
+// gone returns the record of a host whose upstream is gone.
+func gone(node string, incarnation, change int64) fleet.Host {
+	h := ready(node, incarnation, change)
+	h.DataCentre = "dc"
+	h.Upstream.Born, h.Upstream.Sequence, h.Upstream.State = 100, 7, fleet.StateGone
+	return h
+}
+
+// A removal keeps that the upstream of the host was gone, however it is learned: a node that
+// starts again on that host does not make the upstream usable, a later start of the upstream
+// does.
+func TestRemovalKeepsTheLeaving(t *testing.T) {
+	h := gone("a", 5, 3)
+	for name, removal := range map[string]fleet.Removal{
+		"with the upstream":          h.Removal(1000),
+		"known by its record's name": h.Version().Removal(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := fleet.NewTable()
+			is.True(table.Merge(h))
+			is.True(table.Remove(removal))
+			restarted := ready("a", 9, 1)
+			restarted.Upstream.Born = 100
+			former, ok := table.Former(restarted)
+			is.True(ok)
+			is.Equal(former.Upstream, h.Upstream)
+			is.Equal(former.Version(), h.Version())
+			is.NoErr(former.Validate())
+			is.True(table.Merge(restarted))
+			is.Equal(len(table.Usable("s")), 0)
+			next := ready("a", 9, 2)
+			next.Upstream.Born = 101 // under the same id
+			_, ok = table.Former(next)
+			is.True(!ok)
+			is.True(table.Merge(next))
+			is.Equal(len(table.Usable("s")), 1)
+			is.Equal(len(table.Departures("dc")), 0)
+		})
+	}
+}
+
 // A removal that arrives late or once more does not replace what a later one says.
 func TestLaterRemovalWins(t *testing.T) {
 	is := is.New(t)
 	table := fleet.NewTable()
-	table.Remove(fleet.Removal{Node: "a", Incarnation: 5, Change: 3})
+	h := gone("a", 5, 3)
+	table.Remove(h.Removal(1000))
 	table.Remove(fleet.Removal{Node: "a", Incarnation: 4})
 	removal, ok := table.Removed(ready("a", 5, 2))
 	is.True(ok)
-	is.Equal(removal.Change, int64(3))
+	is.True(removal.SameDeparture(h.Removal(1000)))
+	is.Equal(removal.AtUnixMs, int64(1000))
 }
 
 // A table keeps the newest removals: those of hosts that are added and removed for days do not
@@ -34,3 +80,64 @@
 	_, ok = table.Removed(ready("h0", 5, 0))
 	is.True(!ok)
 }
+
+// Departures returns the newest removals of a data centre, the same in each table whatever
+// the order in which they arrived.
+func TestDepartures(t *testing.T) {
+	is := is.New(t)
+	one, other := fleet.NewTable(), fleet.NewTable()
+	const removed = 100
+	for i := range removed {
+		h := gone(fmt.Sprintf("h%03d", i), 1, 1)
+		one.Remove(h.Removal(int64(1000 + i)))
+		back := gone(fmt.Sprintf("h%03d", removed-1-i), 1, 1)
+		other.Remove(back.Removal(int64(1000 + removed - 1 - i)))
+	}
+	usable := ready("usable", 1, 1)
+	one.Remove(usable.Removal(5000))
+	list := one.Departures("dc")
+	is.Equal(len(list), 64)
+	is.Equal(list[0].Node, "h036")
+	is.Equal(list[63].Node, "h099")
+	for i, r := range other.Departures("dc") {
+		is.True(r.SameDeparture(list[i]))
+	}
+	is.Equal(len(one.Departures("elsewhere")), 0)
+}
+
+// A removal is the same after it was written to the store or sent to another node, and one
+// that no node writes is refused.
+func TestRemovalOnTheWire(t *testing.T) {
+	is := is.New(t)
+	h := gone("a", 5, 3)
+	want := h.Removal(1000)
+	is.NoErr(want.Validate())
+	var got fleet.Removal
+	raw, err := json.Marshal(want)
+	is.NoErr(err)
+	is.NoErr(json.Unmarshal(raw, &got))
+	is.Equal(got, want)
+	got = fleet.Removal{}
+	raw, err = cbor.Marshal(want)
+	is.NoErr(err)
+	is.NoErr(cbor.Unmarshal(raw, &got))
+	is.Equal(got, want)
+
+	for name, change := range map[string]func(r *fleet.Removal){
+		"no node":                 func(r *fleet.Removal) { r.Node = "" },
+		"incarnation too large":   func(r *fleet.Removal) { r.Incarnation = 1 << 62 },
+		"change below zero":       func(r *fleet.Removal) { r.Change = -1 },
+		"time too large":          func(r *fleet.Removal) { r.AtUnixMs = 1 << 62 },
+		"no data centre":          func(r *fleet.Removal) { r.DataCentre = "" },
+		"upstream in use":         func(r *fleet.Removal) { r.Upstream.State = fleet.StateReady },
+		"upstream born too late":  func(r *fleet.Removal) { r.Upstream.Born = 1 << 62 },
+		"upstream without a name": func(r *fleet.Removal) { r.Upstream.ID = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := h.Removal(1000)
+			change(&r)
+			is.True(r.Validate() != nil)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/host/departures_test.go
@@ -0,0 +1,105 @@
+package host
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tarragondrum/tarragondrum/pkg/fleet"
+	"github.com/tarragondrum/tarragondrum/pkg/link"
+	"github.com/tarragondrum/tarragondrum/pkg/model"
+	"github.com/tarragondrum/tarragondrum/platform"
+)
+
+// departedHost returns the record of another host whose upstream is gone.
+func departedHost(node string) fleet.Host {
+	return fleet.Host{
+		Node: node, DataCentre: "dc", PeerAddress: "127.91.250.9:7100", Incarnation: 1, Change: 4,
+		Upstream: fleet.Upstream{ID: "u", Born: 100, Sequence: 7, Service: "desk", Slots: 1, State: fleet.StateGone},
+	}
+}
+
+// A node that starts again on a host that was removed, because it stopped as planned or was
+// not reached, is told that its upstream had left. A heartbeat from before that arrives late
+// and changes nothing; a later process of the upstream, also under the same id, is used.
+func TestRemovedHostIsToldThatItsUpstreamLeft(t *testing.T) {
+	is := is.New(t)
+	removed := departedHost("a")
+	peer := newUnstartedNode(t)
+	settings := *peer.settings.Load()
+	settings.Node.ID = "b"
+	peer.settings.Store(&settings)
+	is.True(peer.table.Merge(removed))
+	peer.removeAndForward(removed.Removal(1000), "unreachable", "")
+
+	n := newUnstartedNode(t)
+	var reply newsRecorder
+	peer.peers.handleNews("a", &link.StateUpdate{Hosts: []fleet.Host{n.record.current()}}, reply.record)
+	is.Equal(len(reply.news), 1)
+	n.peers.handleNews("b", reply.news[0], reply.record)
+	is.Equal(n.record.current().Upstream.State, fleet.StateGone)
+	beat := fleet.Heartbeat{Upstream: removed.Upstream}
+	beat.State, beat.Sequence = fleet.StateReady, 8
+	_ = n.record.Heartbeat(t.Context(), beat) // acknowledged once the store has the record
+	is.Equal(n.record.current().Upstream.State, fleet.StateGone)
+	beat.Born, beat.Sequence = 101, 1
+	is.NoErr(n.record.Heartbeat(t.Context(), beat))
+	is.Equal(n.record.current().Upstream.State, fleet.StateReady)
+}
+
+// A node that starts reads from the roster that the upstream of its host has left before it
+// accepts a heartbeat, and a node that reads a roster of the store keeps its departures.
+func TestDeparturesOfTheRoster(t *testing.T) {
+	is := is.New(t)
+	own, other := departedHost("a"), departedHost("b-001")
+	roster := &platform.Roster{
+		DataCentre: "dc", Revision: model.Revision{Epoch: 1, Number: 5},
+		Departed: []fleet.Removal{own.Removal(1000), other.Removal(2000)},
+	}
+	n := newUnstartedNode(t)
+	n.rosters.mergeRoster(roster)
+	is.True(n.record.isLearned())
+	is.Equal(n.record.current().Upstream.State, fleet.StateGone)
+	n.table.Merge(n.record.current())
+	drafts := n.rosters.drafts()
+	is.Equal(len(drafts), 1) // the host of this node is back
+	is.Equal(len(drafts[0].departed), 1)
+	is.Equal(drafts[0].departed[0].Node, "b-001")
+	is.True(drafts[0].departed[0].SameDeparture(other.Removal(2000)))
+
+	// Once the store has them, nothing is left to write.
+	n.rosters.recordStored(&platform.Roster{
+		DataCentre: "dc", Revision: model.Revision{Epoch: 1, Number: 6}, Hosts: drafts[0].hosts, Departed: drafts[0].departed,
+	})
+	is.Equal(len(n.rosters.drafts()), 0)
+}
+
+// A departure that another node removed at another time, or with another count of heartbeats,
+// is no reason to write the roster again: two leads would do so in turn.
+func TestEqualDeparturesAreNotWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	h := departedHost("b-001")
+	n := newUnstartedNode(t)
+	n.table.Merge(n.record.current())
+	n.table.Remove(h.Removal(2000))
+	stored := h
+	stored.Upstream.Sequence = 9
+	n.rosters.recordStored(&platform.Roster{
+		DataCentre: "dc", Revision: model.Revision{Epoch: 1, Number: 5}, Hosts: []fleet.Host{n.record.current()},
+		Departed: []fleet.Removal{stored.Removal(1000)},
+	})
+	is.Equal(len(n.rosters.drafts()), 0)
+}
+
+// A removal that no node writes is not taken.
+func TestInvalidRemovalIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	n := newUnstartedNode(t)
+	h := departedHost("b-001")
+	is.True(n.table.Merge(h))
+	removal := h.Removal(1000)
+	removal.Incarnation = 1 << 62
+	n.peers.handleNews("b-002", &link.StateUpdate{Removed: []fleet.Removal{removal}}, func(*link.StateUpdate) bool { return true })
+	_, there := n.table.Get(h.Node)
+	is.True(there)
+}
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -83,7 +83,7 @@
 	return n.table.Merge(h)
 }
 
-// remove applies a removal and reports whether it changed the table. A removal of this host
+// remove applies a removal and reports whether it deleted a record. A removal of this host
 // makes it renew its record instead.
 func (n *Node) remove(r fleet.Removal, source string) bool {
 	if r.Node == n.settings.Load().Node.ID {
@@ -101,8 +101,7 @@
 
 // removeAndForward removes a host and forwards the removal to all but the node that sent
 // it.
-func (n *Node) removeAndForward(v fleet.Version, source, from string) {
-	r := fleet.Removal(v)
+func (n *Node) removeAndForward(r fleet.Removal, source, from string) {
 	isOwn := r.Node == n.settings.Load().Node.ID
 	if !n.remove(r, source) && !isOwn {
 		return
@@ -128,7 +127,7 @@
 		}
 		for _, name := range n.peers.unreachableFor(removeAfter) {
 			if h, ok := n.table.Get(name); ok {
-				n.removeAndForward(h.Version(), "unreachable", "")
+				n.removeAndForward(h.Removal(time.Now().UnixMilli()), "unreachable", "")
 			}
 		}
 	}
--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -65,9 +65,9 @@
 			stale.Removed = append(stale.Removed, r)
 			continue
 		}
-		if old, ok := p.node.table.Get(h.Node); ok && h.Node == node && fleet.Supersedes(old.Upstream, h.Upstream) {
+		if former, ok := p.node.table.Former(h); ok && h.Node == node {
 			// The sender's former process knew more of its upstream.
-			reply(&link.StateUpdate{Hosts: []fleet.Host{old}})
+			reply(&link.StateUpdate{Hosts: []fleet.Host{former}})
 		}
 	}
 	p.node.mergePeerHosts(node, n.Hosts)
@@ -75,7 +75,11 @@
 		reply(stale)
 	}
 	for _, r := range n.Removed {
-		p.node.removeAndForward(fleet.Version(r), "peer "+node, node)
+		if err := r.Validate(); err != nil {
+			p.node.log.Emit(event.PeerMessageUnreadable, event.F("peer", node), event.F("error", err))
+			continue
+		}
+		p.node.removeAndForward(r, "peer "+node, node)
 	}
 	if len(n.Persisted) > 0 {
 		p.handleSaved(node, n.Persisted)
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -176,6 +176,16 @@
 	}
 }
 
+// learnedFromStore closes learned after the store's records of this host's data centre were
+// merged. The first time it logs what is known of the upstream.
+func (r *record) learnedFromStore() {
+	if !r.isLearned() {
+		h := r.current()
+		r.node.log.Emit(event.OwnRecordRead, event.F("upstream", h.Upstream.ID), event.F("born", h.Upstream.Born), event.F("state", h.Upstream.State))
+	}
+	r.learned.done()
+}
+
 // waitLearned waits until learned is closed, for at most learnTimeout.
 func (r *record) waitLearned(ctx context.Context) {
 	select {
@@ -267,11 +277,15 @@
 	}
 }
 
-// restore makes the record newer than a removal that a peer has sent, so that this host is
-// listed again. The store's entry is gone then, which the next write detects.
+// restore makes the record newer than a removal of this host that the store or a peer has,
+// so that this host is listed again. The store's entry is gone then, which the next write
+// detects. The removed record may be of a former process that knew that the upstream leaves.
 func (r *record) restore(removal *fleet.Removal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if removal.Upstream != nil {
+		r.adoptFormer(removal.Record(r.host))
+	}
 	if !removal.Covers(&r.host) || !r.hasActiveUpstream() {
 		return
 	}
@@ -405,7 +419,6 @@
 	if h.Upstream.State != fleet.StateGone {
 		return
 	}
-	v := h.Version()
-	r.node.peers.broadcast(&link.StateUpdate{Removed: []fleet.Removal{fleet.Removal(v)}})
+	r.node.peers.broadcast(&link.StateUpdate{Removed: []fleet.Removal{h.Removal(time.Now().UnixMilli())}})
 	r.node.log.Emit(event.HostWithdrawn, event.F("host", h.Node), event.F("incarnation", h.Incarnation), event.F("change", h.Change))
 }
--- a/pkg/host/rosters.go
+++ b/pkg/host/rosters.go
@@ -52,6 +52,7 @@
 type storedRoster struct {
 	revision model.Revision
 	hosts    map[string]fleet.Version
+	departed []fleet.Removal
 }
 
 func newRosters(n *Node) *rosters {
@@ -120,7 +121,7 @@
 	}
 	if !mayBeStale {
 		r.readAfter.Store(losses)
-		r.node.record.learned.done()
+		r.node.record.learnedFromStore()
 	}
 	return nil
 }
@@ -135,13 +136,16 @@
 	}
 	n := r.node
 	self := n.record.current()
+	for _, d := range roster.Departed {
+		n.removeAndForward(d, "store", "")
+	}
 	for i := range roster.Hosts {
 		if h := &roster.Hosts[i]; h.Node == self.Node {
 			n.record.learnFromStore(h)
 		}
 	}
 	if roster.DataCentre == self.DataCentre {
-		n.record.learned.done()
+		n.record.learnedFromStore()
 	}
 	// Merge the records before the revision is recorded: a draft based on that revision
 	// must not lack any of them.
@@ -151,7 +155,7 @@
 		return // a missing host may be among the unreadable entries
 	}
 	for _, v := range gone {
-		n.removeAndForward(v, "store", "")
+		n.removeAndForward(v.Removal(), "store", "")
 	}
 }
 
@@ -173,7 +177,7 @@
 	if before != nil && roster.Revision.Before(before.revision) {
 		return nil
 	}
-	now := &storedRoster{revision: roster.Revision, hosts: make(map[string]fleet.Version, len(roster.Hosts))}
+	now := &storedRoster{revision: roster.Revision, hosts: make(map[string]fleet.Version, len(roster.Hosts)), departed: roster.Departed}
 	for i := range roster.Hosts {
 		now.hosts[roster.Hosts[i].Node] = roster.Hosts[i].Version()
 	}
@@ -195,6 +199,8 @@
 	dataCentre string
 	revision   model.Revision
 	hosts      []fleet.Host
+	// departed lists the removed hosts whose upstreams were leaving or gone.
+	departed []fleet.Removal
 	// awaited lists the records of upstreams that leave or are gone: their hosts wait until
 	// the store has them.
 	awaited []fleet.Version
@@ -213,8 +219,8 @@
 	var list []draft
 	for centre, hosts := range byCentre {
 		known := stored[centre]
-		d := draft{dataCentre: centre, revision: known.revision, hosts: hosts}
-		if d.differs(known.hosts) {
+		d := draft{dataCentre: centre, revision: known.revision, hosts: hosts, departed: r.node.table.Departures(centre)}
+		if d.differs(&known) {
 			list = append(list, d)
 		}
 	}
@@ -233,15 +239,15 @@
 	return stored
 }
 
-// differs reports whether the store lacks a record or has one of a removed host. It adds
-// the records whose hosts wait for the store to awaited.
-func (d *draft) differs(stored map[string]fleet.Version) bool {
-	differs := false
+// differs reports whether the store lacks a record or a departure, or has one of a host that
+// was removed or is back. It adds the records whose hosts wait for the store to awaited.
+func (d *draft) differs(stored *storedRoster) bool {
+	differs := !slices.EqualFunc(d.departed, stored.departed, fleet.Removal.SameDeparture)
 	known := 0
 	for i := range d.hosts {
 		h := &d.hosts[i]
 		v := h.Version()
-		there, ok := stored[h.Node]
+		there, ok := stored.hosts[h.Node]
 		if ok {
 			known++
 		}
@@ -249,11 +255,11 @@
 			continue
 		}
 		differs = true
-		if h.Upstream.State == fleet.StateLeaving || h.Upstream.State == fleet.StateGone {
+		if h.Upstream.IsLeavingOrGone() {
 			d.awaited = append(d.awaited, v)
 		}
 	}
-	return differs || known < len(stored)
+	return differs || known < len(stored.hosts)
 }
 
 // write saves a roster and tells the hosts that wait for it. After a conflict it merges the
@@ -261,13 +267,13 @@
 // whose revision is of an earlier epoch, is created by the next draft, or conflicts with the
 // one in the store.
 func (r *rosters) write(ctx context.Context, d *draft) error {
-	saved, err := r.node.store().SaveRoster(ctx, d.dataCentre, d.hosts, d.revision)
+	saved, err := r.node.store().SaveRoster(ctx, d.dataCentre, d.hosts, d.revision, d.departed...)
 	switch {
 	case err == nil:
-		r.recordStored(&platform.Roster{DataCentre: d.dataCentre, Revision: saved.Revision, Hosts: d.hosts})
+		r.recordStored(&platform.Roster{DataCentre: d.dataCentre, Revision: saved.Revision, Hosts: d.hosts, Departed: d.departed})
 		r.node.lead.skipOwnWrite(saved.Revision)
 		r.node.log.Emit(event.RosterSaved, event.F("dataCentre", d.dataCentre), event.F("revision", saved.Revision),
-			event.F("hosts", len(d.hosts)), event.F("awaited", len(d.awaited)))
+			event.F("hosts", len(d.hosts)), event.F("departed", len(d.departed)), event.F("awaited", len(d.awaited)))
 		r.node.record.noteSavedHosts(d.hosts)
 		if len(d.awaited) > 0 {
 			r.node.peers.broadcast(&link.StateUpdate{Persisted: d.awaited})
