--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -98,6 +98,9 @@
 	Parents ParentLookup
 	// Poisoned reports whether requests with this fingerprint crash upstreams.
 	Poisoned func(fingerprint uint64) bool
+	// OnCompleted is called with the fingerprint of a request that an upstream answered with a
+	// status below 500. It may be nil.
+	OnCompleted func(fingerprint uint64)
 	// DecodeNotice decodes what an answer tells about its upstream.
 	DecodeNotice func(h http.Header) (fleet.Notice, error)
 	// OnFinish is called when a request has ended.
--- a/pkg/dispatch/try.go
+++ b/pkg/dispatch/try.go
@@ -33,6 +33,9 @@
 				r.answer.Memory.Release()
 			}
 			r.answer = answer
+			if answer.Status < http.StatusInternalServerError && s.options.OnCompleted != nil {
+				s.options.OnCompleted(r.call.Fingerprint)
+			}
 			if !s.shouldRetryFailure(r, answer) {
 				return s.upstreamResponse(r)
 			}
--- a/pkg/event/upstream.go
+++ b/pkg/event/upstream.go
@@ -8,6 +8,8 @@
 	HeartbeatOutdated   = register(822, "heartbeat-outdated", LevelInfo, "a heartbeat was older than the current record and was ignored", "")
 	UpstreamDown        = register(823, "upstream-down", LevelWarn, "the upstream of this host no longer listens; the requests that were in progress are suspected of having crashed it", "Check the upstream's own log.")
 	RequestQuarantined  = register(824, "request-quarantined", LevelWarn, "a request crashed several upstreams and is refused from now on", "Find the caller by the fingerprint.")
+	RequestsSuspected   = register(838, "requests-suspected", LevelInfo, "requests that were in progress when an upstream crashed count as suspects, each with its fingerprint and the number of its crashes since it last completed", "")
+	SuspicionCleared    = register(839, "suspicion-cleared", LevelInfo, "a request that was suspected of crashing upstreams completed on one, and is no longer refused", "")
 	UpstreamRecovered   = register(826, "upstream-recovered", LevelInfo, "the upstream of this host, which did not listen, answered a request", "")
 	RouteMeanHalved     = register(827, "route-mean-halved", LevelInfo, "the mean duration of a route was halved, because it alone made the node refuse the route's requests and no recent answer corrected it", "")
 	UpstreamAvoided     = register(828, "upstream-avoided", LevelWarn, "requests to the upstream of a host get no answer; it is used only if no other is left", "Check that host and the links to its data centre.")
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -14,6 +14,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,8 +191,8 @@
 		DecodeNotice: platform.DecodeNotice,
 		OnNotice:     n.upstreamNotice,
 		OnOutcome: func(c *link.Call, a *link.Answer, t intake.Timing) {
-			if a.Outcome == link.Ran && a.Status < 500 {
-				n.suspects.Completed(c.Fingerprint)
+			if a.Outcome == link.Ran && a.Status < http.StatusInternalServerError {
+				n.requestCompleted(c.Fingerprint)
 			}
 			n.observer.call(c.Header.Get(platform.HeaderRequestID), c, a, t)
 		},
@@ -222,6 +223,7 @@
 		Parents:         n.intake,
 		Quota:           n.quotas,
 		Poisoned:        n.poisoned,
+		OnCompleted:     n.requestCompleted,
 		DecodeNotice:    platform.DecodeNotice,
 		OnFinish:        n.observer.request,
 		OnPanic:         n.panicked,
@@ -292,32 +294,6 @@
 	}
 }
 
-func (n *Node) poisoned(fingerprint uint64) bool { return n.suspects.Refused(time.Now(), fingerprint) }
-
-// crashed handles the requests that were running when the upstream of this host died.
-func (n *Node) crashed(fingerprints []uint64, u fleet.Upstream) {
-	life := suspect.Life{UpstreamID: u.ID, Born: u.Born}
-	news := &link.StateUpdate{}
-	for _, f := range fingerprints {
-		n.suspect(f, life)
-		news.Crashes = append(news.Crashes, link.Crash{Fingerprint: f, UpstreamID: u.ID, Born: u.Born})
-	}
-	n.log.Emit(event.UpstreamDown, event.F("upstream", u.ID), event.F("born", u.Born), event.F("running", len(fingerprints)))
-	if len(news.Crashes) > 0 {
-		n.peers.broadcast(news)
-	}
-}
-
-// suspect records that a request ran when an upstream crashed, and reports whether that was
-// not known before.
-func (n *Node) suspect(fingerprint uint64, life suspect.Life) bool {
-	isNew, refused := n.suspects.RecordCrash(time.Now(), fingerprint, life)
-	if refused {
-		n.log.Emit(event.RequestQuarantined, event.F("fingerprint", fingerprint), event.F("upstream", life.UpstreamID))
-	}
-	return isNew
-}
-
 // limits returns the limits in force, with defaults for those that the configuration omits.
 func (n *Node) limits() h1.Limits {
 	plain := h1.Limits{HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -8,7 +8,6 @@
 	"github.com/tarragondrum/tarragondrum/pkg/link"
 	"github.com/tarragondrum/tarragondrum/pkg/model"
 	"github.com/tarragondrum/tarragondrum/pkg/pack"
-	"github.com/tarragondrum/tarragondrum/pkg/suspect"
 )
 
 // broadcast sends a state update to every connected node, or in a large fleet to the neighbours in
@@ -87,9 +86,8 @@
 	if n.LeadRank != "" {
 		p.handleLead(node, n, reply)
 	}
-	for _, c := range n.Crashes {
-		p.handleCrash(node, c)
-	}
+	p.handleCrashes(node, n.Crashes)
+	p.handleCompleted(node, n.Completed)
 	p.node.rollouts.handle(node, n, reply)
 	p.handleTree(node, n, reply)
 	if len(n.Config) > 0 {
@@ -141,14 +139,6 @@
 	p.node.currency.ask(from, reply)
 }
 
-// handleCrash processes a report of a request that ran when an upstream crashed.
-func (p *peers) handleCrash(from string, c link.Crash) {
-	isNew := p.node.suspect(c.Fingerprint, suspect.Life{UpstreamID: c.UpstreamID, Born: c.Born})
-	if isNew && !p.isFullMesh() {
-		p.tree.send(&link.StateUpdate{Crashes: []link.Crash{c}}, from)
-	}
-}
-
 // handleTree processes subscriptions, digests and tables, which keep the tables of all
 // nodes equal.
 func (p *peers) handleTree(from string, n *link.StateUpdate, reply func(*link.StateUpdate) bool) {
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -286,6 +286,9 @@
 	Rollouts []release.State `cbor:"24,keyasint,omitempty"`
 	// RolloutReports are the counts of nodes for the coordinator of a roll-out.
 	RolloutReports []release.Report `cbor:"25,keyasint,omitempty"`
+	// Completed are the fingerprints of requests that were suspected of crashing upstreams and
+	// have completed on one.
+	Completed []uint64 `cbor:"26,keyasint,omitempty"`
 }
 
 // Proof says that the sender's configuration was the newest in the store some time ago.
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -2,8 +2,9 @@
 // time is an argument.
 //
 // Every request that was running when an upstream crashed becomes a suspect. A request that
-// is involved in maxCrashes crashes without completing in between is refused. Requests that
-// only happened to run at the same time complete on another upstream, which clears them.
+// is involved in MaxCrashes crashes without completing in between, on any upstream of the
+// fleet, is refused. Requests that only happened to run at the same time complete elsewhere,
+// which clears them.
 package suspect
 
 import (
@@ -14,8 +15,8 @@
 )
 
 const (
-	// maxCrashes is the number of crashes after which a request is refused.
-	maxCrashes = 3
+	// MaxCrashes is the number of crashes after which a request is refused.
+	MaxCrashes = 3
 	// crashTTL is how long after its last crash a request stays refused. It is then tried
 	// again.
 	crashTTL = time.Minute
@@ -29,11 +30,18 @@
 	Born       int64
 }
 
+// Crash is the involvement of a request in the crash of an upstream.
+type Crash struct {
+	Fingerprint uint64
+	Life        Life
+}
+
 // Tracker counts the crashes that each request was involved in. It is safe for concurrent
 // use.
 type Tracker struct {
-	mu       sync.Mutex
-	suspects map[uint64]*crashes
+	mu        sync.Mutex
+	suspects  map[uint64]*crashes
+	completed recentSet
 }
 
 // crashes holds the crashes that one request was involved in.
@@ -45,24 +53,28 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker { return &Tracker{suspects: make(map[uint64]*crashes)} }
 
-// RecordCrash records that the request was running when an upstream's life ended. isNew reports
-// whether this crash was not recorded before, refused whether the request is refused from
-// this crash on.
-func (t *Tracker) RecordCrash(now time.Time, fingerprint uint64, life Life) (isNew, refused bool) {
+// RecordCrash records that a request was running when an upstream's life ended, unless the
+// request has completed on another upstream shortly before: a request that is in demand may
+// run on several upstreams that crash at once. count is the number of crashes that the
+// request is involved in, or 0 if this crash was not recorded or was known before.
+func (t *Tracker) RecordCrash(now time.Time, crash Crash) (count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.completed.has(now, crash.Fingerprint) {
+		return 0
+	}
 	t.prune(now)
-	c := t.suspects[fingerprint]
+	c := t.suspects[crash.Fingerprint]
 	if c == nil {
 		c = &crashes{lives: make(map[Life]struct{})}
-		t.suspects[fingerprint] = c
+		t.suspects[crash.Fingerprint] = c
 	}
-	if _, known := c.lives[life]; known {
-		return false, false
+	if _, known := c.lives[crash.Life]; known {
+		return 0
 	}
-	c.lives[life] = struct{}{}
+	c.lives[crash.Life] = struct{}{}
 	c.last = now
-	return true, len(c.lives) == maxCrashes
+	return len(c.lives)
 }
 
 // prune drops expired and unconfirmed suspects once there are maxSuspects. The caller holds
@@ -72,17 +84,21 @@
 		return
 	}
 	for f, c := range t.suspects {
-		if now.Sub(c.last) > crashTTL || len(c.lives) < maxCrashes {
+		if now.Sub(c.last) > crashTTL || len(c.lives) < MaxCrashes {
 			delete(t.suspects, f)
 		}
 	}
 }
 
-// Completed records that the request completed.
-func (t *Tracker) Completed(fingerprint uint64) {
+// Completed records that the request completed on an upstream, and reports whether it was a
+// suspect.
+func (t *Tracker) Completed(now time.Time, fingerprint uint64) (cleared bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.completed.add(now, fingerprint)
+	_, cleared = t.suspects[fingerprint]
 	delete(t.suspects, fingerprint)
+	return cleared
 }
 
 // Refused reports whether the request is refused because it crashed upstreams.
@@ -90,7 +106,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.suspects[fingerprint]
-	return c != nil && len(c.lives) >= maxCrashes && now.Sub(c.last) <= crashTTL
+	return c != nil && c.isRefused(now)
+}
+
+// isRefused reports whether the request is refused.
+func (c *crashes) isRefused(now time.Time) bool {
+	return len(c.lives) >= MaxCrashes && now.Sub(c.last) <= crashTTL
 }
 
 // Refusal describes a request that is currently refused.
@@ -106,7 +127,7 @@
 	defer t.mu.Unlock()
 	list := []Refusal{}
 	for f, c := range t.suspects {
-		if len(c.lives) >= maxCrashes && now.Sub(c.last) <= crashTTL {
+		if c.isRefused(now) {
 			list = append(list, Refusal{Fingerprint: f, Crashes: len(c.lives), Until: c.last.Add(crashTTL)})
 		}
 	}
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -9,6 +9,11 @@
 	"github.com/tarragondrum/tarragondrum/pkg/suspect"
 )
 
+// crashOf returns the crash of a request in the given life of an upstream.
+func crashOf(fingerprint uint64, life int) suspect.Crash {
+	return suspect.Crash{Fingerprint: fingerprint, Life: suspect.Life{UpstreamID: "up", Born: int64(life)}}
+}
+
 // A request that was running at three crashes is refused. Requests that ran beside it
 // complete elsewhere and are not refused.
 func TestThirdCrashRefuses(t *testing.T) {
@@ -17,18 +22,74 @@
 	now := time.Unix(0, 0)
 	const poison, bystander = 1, 2
 	for crash := range 3 {
-		life := suspect.Life{UpstreamID: "up", Born: int64(crash)}
 		is.True(!tracker.Refused(now, poison))
-		isNew, refused := tracker.RecordCrash(now, poison, life)
-		is.True(isNew)
-		is.Equal(refused, crash == 2)
-		isNew, refused = tracker.RecordCrash(now, poison, life)
-		is.True(!isNew && !refused) // a crash counts once
-		tracker.RecordCrash(now, bystander, life)
-		tracker.Completed(bystander)
+		is.Equal(tracker.RecordCrash(now, crashOf(poison, crash)), crash+1)
+		is.Equal(tracker.RecordCrash(now, crashOf(poison, crash)), 0) // a crash counts once
+		tracker.RecordCrash(now, crashOf(bystander, crash))
+		tracker.Completed(now, bystander)
 		now = now.Add(time.Second)
 	}
 	is.True(tracker.Refused(now, poison))
 	is.True(!tracker.Refused(now, bystander))
 	is.True(!tracker.Refused(now.Add(2*time.Minute), poison)) // the refusal expires
 }
+
+// Crashes that lie far apart do not add up to a refusal if the request completed between
+// them: each completion clears the request, whenever the crash was.
+func TestCompletionBetweenCrashesClears(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.NewTracker()
+	now := time.Unix(0, 0)
+	for crash := range 5 {
+		is.Equal(tracker.RecordCrash(now, crashOf(1, crash)), 1)
+		is.True(tracker.Completed(now.Add(time.Minute), 1))
+		is.True(!tracker.Completed(now.Add(time.Minute), 1))
+		now = now.Add(time.Hour)
+	}
+	is.True(!tracker.Refused(now, 1))
+}
+
+// A completion of a request that is refused, such as of a run that began before the third
+// crash, ends the refusal.
+func TestCompletionEndsRefusal(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.NewTracker()
+	now := time.Unix(0, 0)
+	for crash := range 3 {
+		tracker.RecordCrash(now, crashOf(1, crash))
+	}
+	is.True(tracker.Refused(now, 1))
+	is.True(tracker.Completed(now, 1))
+	is.True(!tracker.Refused(now, 1))
+}
+
+// Upstreams that crash at once do not make a request suspect that completes all the time.
+// One that has completed earlier and crashes upstreams now is refused.
+func TestRequestInDemandIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.NewTracker()
+	now := time.Unix(0, 0)
+	tracker.Completed(now, 1)
+	for crash := range 4 {
+		is.Equal(tracker.RecordCrash(now.Add(900*time.Millisecond), crashOf(1, crash)), 0)
+	}
+	is.True(!tracker.Refused(now.Add(time.Second), 1))
+	now = now.Add(2 * time.Second)
+	for crash := range 3 {
+		is.Equal(tracker.RecordCrash(now, crashOf(1, 10+crash)), crash+1)
+	}
+	is.True(tracker.Refused(now, 1))
+}
+
+// Completions without end take a bounded amount of memory, and the last ones count.
+func TestCompletionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.NewTracker()
+	now := time.Unix(0, 0)
+	for f := range uint64(100_000) {
+		tracker.Completed(now.Add(time.Duration(f)*time.Millisecond), f)
+	}
+	now = now.Add(100 * time.Second)
+	is.Equal(tracker.RecordCrash(now, crashOf(99_999, 1)), 0)
+	is.Equal(tracker.RecordCrash(now, crashOf(1, 1)), 1)
+}
