--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -41,6 +41,7 @@
 	n := p.node.versionUpdate()
 	n.Hosts = []fleet.Host{p.node.record.current()}
 	n.Rollouts = p.node.rollouts.messages()
+	n.Crashes = p.node.knownCrashes()
 	switch {
 	case p.isFullMesh():
 		n.Hosts = p.node.table.All()
--- a/pkg/host/suspects.go
+++ b/pkg/host/suspects.go
@@ -29,7 +29,8 @@
 	var suspects []string
 	for _, c := range crashes {
 		life := suspect.Life{UpstreamID: c.UpstreamID, Born: c.Born}
-		count := n.suspects.RecordCrash(time.Now(), suspect.Crash{Fingerprint: c.Fingerprint, Life: life})
+		age := time.Duration(min(max(0, c.AgeMs), maxCrashAgeMs)) * time.Millisecond
+		count := n.suspects.RecordCrash(time.Now(), suspect.Crash{Fingerprint: c.Fingerprint, Life: life, Age: age})
 		if count == 0 {
 			continue
 		}
@@ -45,6 +46,18 @@
 	return news
 }
 
+// maxCrashAgeMs bounds the age of a crash in a message of another node.
+const maxCrashAgeMs = int64(time.Hour / time.Millisecond)
+
+// knownCrashes returns the crashes that this node knows, for a node that has just started.
+func (n *Node) knownCrashes() []link.Crash {
+	var list []link.Crash
+	for _, c := range n.suspects.Crashes(time.Now()) {
+		list = append(list, link.Crash{Fingerprint: c.Fingerprint, UpstreamID: c.Life.UpstreamID, Born: c.Life.Born, AgeMs: c.Age.Milliseconds()})
+	}
+	return list
+}
+
 // requestCompleted records that a request completed on an upstream. If other nodes may
 // suspect it of crashes, it tells them.
 func (n *Node) requestCompleted(fingerprint uint64) {
--- a/pkg/host/suspects_mesh_test.go
+++ b/pkg/host/suspects_mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tarragondrum/tarragondrum/platform"
 	"github.com/tarragondrum/tarragondrum/platform/standin"
 )
 
@@ -115,3 +117,47 @@
 		is.Equal(c.get(m, "/desk/page", fmt.Sprintf("later-%d", i)).status, http.StatusOK)
 	}
 }
+
+// A request that crashes each upstream that runs it is refused after the third crash at every
+// node, also at those that were started again since, beside pages that are in demand and run on
+// the same upstreams.
+func TestRestartedNodeRefusesRequestThatCrashesUpstreams(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTest(t, 6, standin.Behaviour{})
+	for _, m := range c.desks {
+		u := m.Upstream
+		u.SetBehaviour(standin.Behaviour{TakeOver: func(conn *net.TCPConn, r *http.Request) {
+			if r.URL.Path == "/desk/poison" {
+				u.Close()
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 2\r\n\r\nok",
+				platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSignature)
+		}})
+	}
+	is.Equal(c.get(c.hosts[1], "/desk/page", "page").status, http.StatusOK)
+	for i := range 6 {
+		_ = c.get(c.desks[0], "/desk/poison", fmt.Sprintf("poison-%d", i))
+	}
+	for _, m := range c.desks {
+		c.restart(m, standin.Behaviour{})
+	}
+	isServed := func(m *member) func() bool {
+		return func() bool { return c.get(m, "/desk/page", "page-"+m.Name).status == http.StatusOK }
+	}
+	for i, m := range c.desks { // callers beside the same service send equivalent requests
+		c.eventually("the page is served at "+m.Name, isServed(m))
+		is.Equal(c.get(m, "/desk/poison", fmt.Sprintf("again-%d", i)).status, http.StatusServiceUnavailable)
+	}
+	for i, m := range c.desks {
+		m.Kill()
+		c.start(m)
+		c.eventually("ready again", func() bool { return m.IsReady(t.Context()) })
+		c.eventually("the page is served at "+m.Name, isServed(m))
+		is.Equal(c.get(m, "/desk/poison", fmt.Sprintf("restarted-%d", i)).status, http.StatusServiceUnavailable)
+	}
+	for _, m := range c.desks {
+		seen, _ := c.upstreams[m].Seen()
+		is.True(!slices.ContainsFunc(seen, func(s standin.Seen) bool { return s.Path == "/desk/poison" }))
+	}
+}
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -189,6 +189,7 @@
 func (t *tree) tableMessage() *link.StateUpdate {
 	n := t.node.versionUpdate()
 	n.Rollouts = t.node.rollouts.messages()
+	n.Crashes = t.node.knownCrashes()
 	hosts := t.node.table.All()
 	packed, err := link.PackHosts(hosts)
 	if err != nil {
--- a/pkg/link/frame.go
+++ b/pkg/link/frame.go
@@ -249,7 +249,8 @@
 	Config         []byte `cbor:"4,keyasint,omitempty"`
 	// WantConfigAfter requests the configuration if the receiver has a newer version than this.
 	WantConfigAfter *uint64 `cbor:"5,keyasint,omitempty"`
-	// Crashes are requests that were running when an upstream crashed.
+	// Crashes are requests that were running when an upstream crashed. A node that greets
+	// another sends those that it knows.
 	Crashes []Crash `cbor:"6,keyasint,omitempty"`
 	// LeadRank is the rank of a lead node that has just reached the store, empty in other updates.
 	LeadRank string `cbor:"7,keyasint,omitempty"`
@@ -333,6 +334,8 @@
 	// UpstreamID and Born identify the upstream process that crashed.
 	UpstreamID string `cbor:"2,keyasint"`
 	Born       int64  `cbor:"3,keyasint"`
+	// AgeMs is the time since the crash in milliseconds.
+	AgeMs int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // decoder limits arrays and maps to 131072 entries, which bounds the memory that a malformed
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -22,6 +22,8 @@
 	crashTTL = time.Minute
 	// maxSuspects is the number of remembered requests from which on old entries are dropped.
 	maxSuspects = 4096
+	// maxReported is the maximum number of crashes that Crashes returns.
+	maxReported = 256
 )
 
 // Life identifies one run of an upstream, from its start to its end.
@@ -34,6 +36,8 @@
 type Crash struct {
 	Fingerprint uint64
 	Life        Life
+	// Age is the time since the crash.
+	Age time.Duration
 }
 
 // Tracker counts the crashes that each request was involved in. It is safe for concurrent
@@ -73,7 +77,9 @@
 		return 0
 	}
 	c.lives[crash.Life] = struct{}{}
-	c.last = now
+	if at := now.Add(-min(max(0, crash.Age), crashTTL)); at.After(c.last) {
+		c.last = at
+	}
 	return len(c.lives)
 }
 
@@ -134,3 +140,29 @@
 	slices.SortFunc(list, func(x, y Refusal) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
 	return list
 }
+
+// Crashes returns the crashes that are known, for a node that has just started: those of the
+// requests with the most crashes, and of the newest, first. There are maxReported at most.
+func (t *Tracker) Crashes(now time.Time) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fingerprints := make([]uint64, 0, len(t.suspects))
+	for f := range t.suspects {
+		fingerprints = append(fingerprints, f)
+	}
+	slices.SortFunc(fingerprints, func(x, y uint64) int {
+		a, b := t.suspects[x], t.suspects[y]
+		return cmp.Or(cmp.Compare(len(b.lives), len(a.lives)), b.last.Compare(a.last), cmp.Compare(x, y))
+	})
+	var list []Crash
+	for _, f := range fingerprints {
+		c := t.suspects[f]
+		if len(list)+len(c.lives) > maxReported {
+			break
+		}
+		for life := range c.lives {
+			list = append(list, Crash{Fingerprint: f, Life: life, Age: now.Sub(c.last)})
+		}
+	}
+	return list
+}
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -81,6 +81,49 @@
 	is.True(tracker.Refused(now, 1))
 }
 
+// A node that has just started learns from another one which requests crash upstreams, and
+// refuses them as long as that one.
+func TestNewTrackerLearnsCrashes(t *testing.T) {
+	is := is.New(t)
+	tracker, next := suspect.NewTracker(), suspect.NewTracker()
+	start := time.Unix(0, 0)
+	for crash := range 3 {
+		tracker.RecordCrash(start, crashOf(1, crash))
+	}
+	tracker.RecordCrash(start, crashOf(2, 0))
+	now := start.Add(40 * time.Second)
+	for range 2 { // from two nodes
+		for _, c := range tracker.Crashes(now) {
+			next.RecordCrash(now, c)
+		}
+	}
+	is.True(next.Refused(now, 1))
+	is.True(!next.Refused(now, 2))
+	is.Equal(next.RecordCrash(now, crashOf(2, 1)), 2)
+	is.Equal(next.Refusals(now), tracker.Refusals(now))
+	is.True(!next.Refused(start.Add(61*time.Second), 1))
+}
+
+// The number of crashes that a node sends is bounded, and those of refused requests come
+// first.
+func TestReportedCrashesAreBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := suspect.NewTracker()
+	now := time.Unix(0, 0)
+	for crash := range 3 {
+		tracker.RecordCrash(now, crashOf(1, crash))
+	}
+	for f := range uint64(1000) {
+		tracker.RecordCrash(now.Add(time.Second), crashOf(10+f, 0))
+	}
+	list := tracker.Crashes(now.Add(time.Second))
+	is.Equal(len(list), 256)
+	for _, c := range list[:3] {
+		is.Equal(c.Fingerprint, uint64(1))
+		is.Equal(c.Age, time.Second)
+	}
+}
+
 // Completions without end take a bounded amount of memory, and the last ones count.
 func TestCompletionsAreBounded(t *testing.T) {
 	is := is.New(t)
