--- a/soak/mesh_test.go
+++ b/soak/mesh_test.go
@@ -86,14 +86,7 @@
 		go m.sendHeartbeats(ctx, p)
 	}
 	for _, p := range m.hosts {
-		m.waitUntil(func() bool {
-			r, err := http.Get("http://" + p.ip + ":8083" + platform.ReadyPath)
-			if err != nil {
-				return false
-			}
-			defer func() { _ = r.Body.Close() }()
-			return r.StatusCode == http.StatusOK
-		})
+		m.waitUntil(func() bool { return isReady(p) })
 	}
 	return m
 }
