Ask for a page all the time beside the request that crashes upstreams

TestRestartedNodeRefusesRequestThatCrashesUpstreams said that pages run beside it on the same upstreams, but asked for one only in between. Now every node asks for the page all the time, 30 ms each, while the request crashes the three upstreams, and the request must be refused as poison while they do.

--- a/pkg/host/suspects_mesh_test.go
+++ b/pkg/host/suspects_mesh_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -50,6 +51,25 @@
 	return at
 }
 
+// keepAsking requests a page through every node all the time, until the function that it
+// returns is called.
+func (c *crashTest) keepAsking(path string) (stop func()) {
+	var open sync.WaitGroup
+	ctx, cancel := context.WithCancel(c.t.Context())
+	for _, m := range c.hosts {
+		open.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				_ = c.get(m, path, fmt.Sprintf("asked-%s-%d", m.Name, i))
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		open.Wait()
+	}
+}
+
 // restart starts a new process of the upstream of a host, which must have ended.
 func (c *crashTest) restart(m *member, does standin.Behaviour) {
 	c.t.Helper()
@@ -131,14 +151,19 @@
 				u.Close()
 				return
 			}
+			time.Sleep(30 * time.Millisecond)
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 2\r\n\r\nok",
 				platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSignature)
 		}})
 	}
-	is.Equal(c.get(c.hosts[1], "/desk/page", "page").status, http.StatusOK)
+	stopPages := c.keepAsking("/desk/page")
+	time.Sleep(200 * time.Millisecond)
 	for i := range 6 {
 		_ = c.get(c.desks[0], "/desk/poison", fmt.Sprintf("poison-%d", i))
 	}
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(c.get(c.desks[0], "/desk/poison", "poison-last").body, `{"reason":"poison"}`)
+	stopPages()
 	for _, m := range c.desks {
 		c.restart(m, standin.Behaviour{})
 	}
