--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -19,17 +18,7 @@
 // leaving arrives late, and that the next upstream at that address is served soon.
 func TestLeavingsOverRestarts(t *testing.T) {
 	binary := build(t)
-	t.Run("seeds", func(t *testing.T) {
-		for i := range max(1, *seeds/2) {
-			seed := uint64(*firstSeed + i)
-			t.Run(fmt.Sprint(seed), func(t *testing.T) {
-				if i < *parallel {
-					t.Parallel()
-				}
-				restartBesideLeavings(t, binary, *parallel+1+i, seed)
-			})
-		}
-	})
+	forEachSeed(t, max(1, *seeds/2), func(t *testing.T, network int, seed uint64) { restartBesideLeavings(t, binary, network, seed) })
 }
 
 // restartBesideLeavings lets the upstream of each host leave once, two at a time, one of each
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,18 +38,25 @@
 // has ever failed is added to regressions.
 func TestSoak(t *testing.T) {
 	binary := build(t)
+	forEachSeed(t, *seeds, func(t *testing.T, network int, seed uint64) { runSeed(t, binary, network, seed, *length) })
+}
+
+// forEachSeed calls run with the given number of seeds, several at the same time, each with a
+// network of its own.
+func forEachSeed(t *testing.T, count int, run func(t *testing.T, network int, seed uint64)) {
+	t.Helper()
 	var slots = make(chan int, *parallel)
 	for i := range *parallel {
 		slots <- i + 1
 	}
 	t.Run("seeds", func(t *testing.T) {
-		for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		for seed := *firstSeed; seed < *firstSeed+count; seed++ {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				network := <-slots
 				// Registered first, so that it runs after all other clean-ups, which free the addresses.
 				t.Cleanup(func() { slots <- network })
-				runSeed(t, binary, network, uint64(seed), *length)
+				run(t, network, uint64(seed))
 			})
 		}
 	})
