--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// learnedFromStore closes learned after the store's records of this host's data centre were
-// merged. The first time it logs what is known of the upstream.
+// learnedFromStore closes learned. It is called when the store's records of this host's data
+// centre have been merged, and logs what they say of the upstream the first time.
 func (r *record) learnedFromStore() {
 	if !r.isLearned() {
 		h := r.current()
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -58,8 +58,8 @@
 func NewTracker() *Tracker { return &Tracker{suspects: make(map[uint64]*crashes)} }
 
 // RecordCrash records that a request was running when an upstream's life ended, unless the
-// request has completed on another upstream shortly before: a request that is in demand may
-// run on several upstreams that crash at once. count is the number of crashes that the
+// request has completed in the last recentPeriod: a request that callers send often may run
+// on several upstreams that crash at once. count is the number of crashes that the
 // request is involved in, or 0 if this crash was not recorded or was known before.
 func (t *Tracker) RecordCrash(now time.Time, crash Crash) (count int) {
 	t.mu.Lock()
@@ -141,8 +141,8 @@
 	return list
 }
 
-// Crashes returns the crashes that are known, for a node that has just started: those of the
-// requests with the most crashes, and of the newest, first. There are maxReported at most.
+// Crashes returns the known crashes, maxReported at most. Requests with more crashes come
+// first, and among equal ones those with the later last crash.
 func (t *Tracker) Crashes(now time.Time) []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
