Log the version and the commit of a node at its start

Cause: the log of a node does not say from which source it was built.

Change: 100 process-started has version and build, the commit from the build information, with +modified if files differed from it. tarragondrum version prints the same, from the new package pkg/buildinfo.

--- a/pkg/cli/version.go
+++ b/pkg/cli/version.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"runtime/debug"
+
+	"github.com/tarragondrum/tarragondrum/pkg/buildinfo"
 )
 
 // versionCmd prints the version and revision from the build information.
@@ -11,19 +12,7 @@
 func (*versionCmd) example() string { return "tarragondrum version" }
 
 func (*versionCmd) run(_ context.Context, env Env) int {
-	version, revision := "devel", "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		if info.Main.Version != "" && info.Main.Version != "(devel)" {
-			version = info.Main.Version
-		}
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				revision = s.Value
-			}
-		}
-		env.printf("tarragondrum %s, revision %s, %s\n", version, revision, info.GoVersion)
-		return ExitOK
-	}
-	env.printf("tarragondrum %s\n", version)
+	b := buildinfo.Read()
+	env.printf("tarragondrum %s, revision %s, %s\n", b.Version, b.Revision, b.Compiler)
 	return ExitOK
 }
--- a/pkg/event/process.go
+++ b/pkg/event/process.go
@@ -2,7 +2,7 @@
 
 // Events of the process and its settings.
 var (
-	ProcessStarted      = register(100, "process-started", LevelInfo, "the process started", "")
+	ProcessStarted      = register(100, "process-started", LevelInfo, "the process started; the fields have its version and the commit of which it was built", "")
 	ProcessStopping     = register(101, "process-stopping", LevelInfo, "the process is shutting down gracefully", "")
 	ProcessStopped      = register(102, "process-stopped", LevelInfo, "the process stopped", "")
 	ServiceStopFailed   = register(103, "service-stop-failed", LevelWarn, "a service did not stop cleanly before its deadline", "Check the service named in the event; requests in progress may have been cut off.")
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/tarragondrum/tarragondrum/pkg/buildinfo"
 	"github.com/tarragondrum/tarragondrum/pkg/event"
 	"github.com/tarragondrum/tarragondrum/pkg/httpserver"
 	"github.com/tarragondrum/tarragondrum/pkg/kernel"
@@ -153,7 +154,8 @@
 		return err
 	}
 	n.listening.Store(true)
-	n.log.Emit(event.ProcessStarted, event.F("dataCentre", s.Node.DataCentre), event.F("service", s.Upstream.Service),
+	build := buildinfo.Read()
+	n.log.Emit(event.ProcessStarted, event.F("version", build.Version), event.F("build", build.Revision), event.F("dataCentre", s.Node.DataCentre), event.F("service", s.Upstream.Service),
 		event.F("outbound", s.Listen.Outbound), event.F("peers", s.PeerAddress()), event.F("incarnation", n.record.incarnation()))
 	return nil
 }
