Let a restarted node learn the leaving from a record of its own incarnation

What callers saw, in a model of the fleet: a leaving that other nodes or the store knew was forgotten for good by the restarted node beside the upstream, which then sent it requests after a late heartbeat.

Cause: when a restarted node sends a record that knows less of its upstream than another node does, that one puts the former state into the record it keeps, under the new incarnation, and answers once with the former record. If the answer is lost with its connection, or the record came by way of a third node, all later messages carry the state under the incarnation of the new process, and record.adoptFormer ignored these as its own.

Evidence: TestLostAnswerToTheGreetingIsRepeated fails before (no upstream where it has to be gone).

Fix: the state counts whatever the incarnation, if it is later. One exception: a deregistration without a start time cannot be ordered before or after another state, so what this process was told stays (TestDeregistrationWithoutStartTime IsKept guards that; it shows no fault of the former code).

--- a/pkg/host/departures_test.go
+++ b/pkg/host/departures_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"testing"
 
 	"github.com/matryer/is"
@@ -103,3 +104,53 @@
 	_, there := n.table.Get(h.Node)
 	is.True(there)
 }
+
+// newPeerNode returns a node of a small fleet that is not started, under a name.
+func newPeerNode(t *testing.T, name string) *Node {
+	t.Helper()
+	n := newUnstartedNode(t)
+	settings := *n.settings.Load()
+	settings.Node.ID = name
+	n.settings.Store(&settings)
+	n.record.host.Node = name
+	n.started = n.started.Add(-startupPeriod)
+	return n
+}
+
+// A restarted node whose greeting was answered with the state of its former process, and that
+// lost the answer with the connection, learns it from the next greeting: the other node has put
+// that state into the record of the new process.
+func TestLostAnswerToTheGreetingIsRepeated(t *testing.T) {
+	is := is.New(t)
+	former := departedHost("a")
+	peer, n := newPeerNode(t, "b"), newPeerNode(t, "a")
+	is.True(peer.table.Merge(former))
+	lost := func(*link.StateUpdate) bool { return true }
+	peer.peers.handleNews("a", &link.StateUpdate{Hosts: []fleet.Host{n.record.current()}}, lost)
+	is.Equal(n.record.current().Upstream.State, fleet.StateNone)
+
+	n.peers.handleNews("b", peer.peers.greeting("a"), lost)
+	is.Equal(n.record.current().Upstream, former.Upstream)
+}
+
+// A deregistration without a start time, of a process that its node has not heard of, is not
+// replaced by what other nodes know of an earlier process.
+func TestDeregistrationWithoutStartTimeIsKept(t *testing.T) {
+	is := is.New(t)
+	former := departedHost("a")
+	peer, n := newPeerNode(t, "b"), newPeerNode(t, "a")
+	is.True(peer.table.Merge(former))
+	n.record.learned.done()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel() // nobody saves it
+	next := fleet.Upstream{ID: "next", Service: "desk", Slots: 1}
+	is.True(n.record.Heartbeat(ended, fleet.Heartbeat{Upstream: next, Removed: true}) != nil)
+	peer.peers.handleNews("a", &link.StateUpdate{Hosts: []fleet.Host{n.record.current()}}, func(news *link.StateUpdate) bool {
+		n.peers.handleNews("b", news, func(*link.StateUpdate) bool { return true })
+		return true
+	})
+	n.peers.handleNews("b", peer.peers.greeting("a"), func(*link.StateUpdate) bool { return true })
+	next.Born, next.Sequence, next.State = 200, 1, fleet.StateReady // held up since before it left
+	_ = n.record.Heartbeat(ended, fleet.Heartbeat{Upstream: next})  // acknowledged once the leaving is saved
+	is.Equal(n.record.current().Upstream.State, fleet.StateGone)
+}
--- a/pkg/host/record.go
+++ b/pkg/host/record.go
@@ -311,27 +311,35 @@
 	r.learned.done()
 }
 
-// adoptFormer merges a record that a former process of this host wrote, which may know more
-// of the upstream than this process. The caller holds mu.
+// adoptFormer merges a record of this host that another node or the store has. It may say
+// more of the upstream than this process knows: a former process wrote it, or it is a record
+// of this process in which another node put what it knew from the former one. The caller
+// holds mu.
 func (r *record) adoptFormer(known fleet.Host) {
-	if known.Incarnation == r.host.Incarnation {
-		return // written by this process
-	}
-	more := fleet.Supersedes(known.Upstream, r.host.Upstream)
-	if known.Incarnation < r.host.Incarnation && !more {
+	more := fleet.Supersedes(known.Upstream, r.host.Upstream) && !r.hasUnknownStart()
+	if known.Incarnation <= r.host.Incarnation && !more {
 		return
 	}
 	r.node.log.Emit(event.PreviousRecordFound, event.F("incarnation", known.Incarnation), event.F("upstream", known.Upstream.ID),
 		event.F("state", known.Upstream.State), event.F("known", r.host.Upstream.State))
 	r.update(func(h *fleet.Host) {
-		// The clock of this host may have stepped back since the former process started.
-		h.Incarnation = max(h.Incarnation, known.Incarnation+1)
+		if known.Incarnation > h.Incarnation {
+			// The clock of this host has stepped back since the former process started.
+			h.Incarnation = known.Incarnation + 1
+		}
 		if more {
 			h.Upstream = known.Upstream
 		}
 	})
 }
 
+// hasUnknownStart reports whether the upstream told this process that it is gone, and not when
+// it had started. No other state of an upstream can be ordered before or after that one. The
+// caller holds mu.
+func (r *record) hasUnknownStart() bool {
+	return r.host.Upstream.State == fleet.StateGone && r.host.Upstream.Born == 0
+}
+
 // announceStopping tells peers that this node stops.
 func (r *record) announceStopping() {
 	r.mu.Lock()
