Keep that an upstream has left in whatever order messages say so

What callers saw, in a model: a leaving that a node had been told was forgotten there, and with that node the last that knew it could stop or write a roster without it.

Cause: the version of a record decided about the state of the upstream too. A removal or a record that says that the upstream has left, and comes after a newer record of the restarted node, which does not know it, was dropped. So was what a record says of a host that is removed already. In a large fleet a removal with the upstream was not relayed where one without it had come first, a record was relayed without what the relaying node had added, and only the restarted node itself was told when it knew too little.

Fix: that an upstream leaves or is gone is merged apart from versions, from records and removals alike, until a later process of the upstream starts. Whoever sends a record that lacks it is told, and relays it.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -136,7 +136,9 @@
 }
 
 // Merge adds a record to the table and reports whether it changed the table. Records that
-// are invalid, deleted or not newer than the known one are ignored.
+// are invalid, deleted or not newer than the known one are ignored, except that the upstream
+// leaves or is gone: messages of several nodes arrive in any order, and the node on the host
+// may have restarted without knowing that.
 func (t *Table) Merge(h Host) bool {
 	if h.Validate() != nil {
 		return false
@@ -148,7 +150,7 @@
 	}
 	old, ok := t.hosts[h.Node]
 	if ok && !h.IsNewer(&old) {
-		return false
+		return t.learnLeaving(&old, &h.Upstream)
 	}
 	if former, knowsMore := t.former(&h); knowsMore {
 		// A node that has just restarted may not know a state of the upstream that it
@@ -165,6 +167,20 @@
 	return true
 }
 
+// learnLeaving records that the upstream of a known host leaves or is gone, if that is later
+// than what its record says, and reports whether it is. The version of the record stays the
+// same: only the node on the host changes that. The caller must hold mu.
+func (t *Table) learnLeaving(known *Host, u *Upstream) bool {
+	if !u.IsLeavingOrGone() || !Supersedes(*u, known.Upstream) {
+		return false
+	}
+	h := *known
+	h.Upstream = *u
+	t.hosts[h.Node] = h
+	t.invalidate()
+	return true
+}
+
 // invalidate discards the snapshot and counts the change. The caller must hold mu.
 func (t *Table) invalidate() {
 	t.snapshot.Store(nil)
@@ -182,12 +198,16 @@
 func (t *Table) Generation() uint64 { return t.generation.Load() }
 
 // Remove deletes a host, unless the table has a newer version of its record than the
-// removal covers, and reports whether it deleted a record.
+// removal covers, and reports whether it deleted a record. It keeps what the removal says of
+// the upstream in either case.
 func (t *Table) Remove(r Removal) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.hosts[r.Node]
 	if ok && !r.Covers(&old) {
+		if r.Upstream != nil {
+			t.learnLeaving(&old, r.Upstream)
+		}
 		return false
 	}
 	if ok {
@@ -201,6 +221,21 @@
 	return ok
 }
 
+// LacksLeaving reports whether a removal says of an upstream that it leaves or is gone, and
+// the table does not know that.
+func (t *Table) LacksLeaving(r Removal) bool {
+	if r.Upstream == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.hosts[r.Node]; ok {
+		return Supersedes(*r.Upstream, known.Upstream)
+	}
+	known, ok := t.removals.get(r.Node)
+	return !ok || known.Upstream == nil || Supersedes(*r.Upstream, *known.Upstream)
+}
+
 // Removed returns the removal that covers a record, if there is one.
 func (t *Table) Removed(h Host) (Removal, bool) {
 	t.mu.Lock()
--- a/pkg/fleet/removal_test.go
+++ b/pkg/fleet/removal_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/tarragondrum/tarragondrum/pkg/fleet"
 )
@@ -141,3 +142,47 @@
 		})
 	}
 }
+
+// A table knows that an upstream has left whichever of the messages that say so arrives, and in
+// whatever order it comes among records of the restarted node, which does not know it, and
+// removals that do not say it.
+func TestLeavingIsKeptInAnyOrder(t *testing.T) {
+	before, left, restarted, late := ready("a", 5, 2), gone("a", 5, 3), ready("a", 9, 1), ready("a", 9, 2)
+	for _, h := range []*fleet.Host{&before, &restarted, &late} {
+		h.DataCentre, h.Upstream.Born = "dc", 100
+	}
+	restarted.Upstream = fleet.Upstream{}
+	rapid.Check(t, func(t *rapid.T) {
+		table := fleet.NewTable()
+		told := false
+		messages := []string{"before", "left", "removed", "removed by version", "restarted", "late"}
+		for _, m := range rapid.Permutation(messages).Draw(t, "order") {
+			if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+				continue
+			}
+			switch m {
+			case "before":
+				table.Merge(before)
+			case "left":
+				if _, removed := table.Removed(left); removed {
+					table.Remove(left.Removal(0)) // as a node does with a record that was removed
+				}
+				table.Merge(left)
+				told = true
+			case "removed":
+				table.Remove(left.Removal(1000))
+				told = true
+			case "removed by version":
+				table.Remove(left.Version().Removal())
+			case "restarted":
+				table.Merge(restarted)
+			case "late":
+				table.Merge(late)
+			}
+			_, knows := table.Former(late)
+			if told && (!knows || len(table.Usable("s")) > 0) {
+				t.Fatalf("the table has forgotten that the upstream left after %q", m)
+			}
+		}
+	})
+}
--- a/pkg/host/departures_test.go
+++ b/pkg/host/departures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -154,3 +155,42 @@
 	_ = n.record.Heartbeat(ended, fleet.Heartbeat{Upstream: next})  // acknowledged once the leaving is saved
 	is.Equal(n.record.current().Upstream.State, fleet.StateGone)
 }
+
+// In a large fleet, a node that alone knows that the upstream of a restarted node has left tells
+// so to its hub, which relays it to the restarted node.
+func TestFollowerCorrectsARelayedRecord(t *testing.T) {
+	is := is.New(t)
+	former := departedHost("a")
+	hub, follower, n := newLargeNode(t), newLargeNode(t), newPeerNode(t, "a")
+	is.True(follower.table.Merge(former))
+	var toNode newsRecorder
+	hub.settings.Store(newPeerNode(t, "hub").settings.Load())
+	hub.peers.handleNews("a", &link.StateUpdate{Subscribe: true}, toNode.record)
+	record := n.record.current()
+	hub.peers.handleNews("a", &link.StateUpdate{Hosts: []fleet.Host{record}}, toNode.record)
+
+	follower.settings.Store(newPeerNode(t, "follower").settings.Load())
+	var toHub newsRecorder
+	follower.peers.handleNews("hub", &link.StateUpdate{Hosts: []fleet.Host{record}}, toHub.record)
+	is.Equal(len(toHub.news), 1)
+	hub.peers.handleNews("follower", toHub.news[0], func(*link.StateUpdate) bool { return true })
+	time.Sleep(3 * relayDelay)
+	for _, news := range toNode.all() {
+		n.peers.handleNews("hub", news, func(*link.StateUpdate) bool { return true })
+	}
+	is.Equal(n.record.current().Upstream, former.Upstream)
+}
+
+// A node that does not know a host relays a removal that says that its upstream has left.
+func TestRemovalOfAnUnknownHostIsRelayed(t *testing.T) {
+	is := is.New(t)
+	hub := newLargeNode(t)
+	h := departedHost("b-900")
+	var other newsRecorder
+	hub.peers.handleNews("b-002", &link.StateUpdate{Subscribe: true}, other.record)
+	hub.peers.handleNews("b-001", &link.StateUpdate{Removed: []fleet.Removal{h.Version().Removal()}}, other.record)
+	for range 2 {
+		hub.peers.handleNews("b-001", &link.StateUpdate{Removed: []fleet.Removal{h.Removal(1000)}}, other.record)
+	}
+	is.Equal(other.count(func(n *link.StateUpdate) bool { return len(n.Removed) == 1 && n.Removed[0].Upstream != nil }), 1)
+}
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -46,8 +46,15 @@
 			n.log.Emit(event.PeerMessageUnreadable, event.F("peer", source), event.F("error", err))
 			continue
 		}
-		if _, removed := n.table.Removed(h); !removed && n.mergeHost(h) {
-			news = append(news, h)
+		if _, removed := n.table.Removed(h); removed {
+			n.table.Remove(h.Removal(0)) // it may say more of the upstream than the known removal
+			continue
+		}
+		if !n.mergeHost(h) {
+			continue
+		}
+		if merged, ok := n.table.Get(h.Node); ok {
+			news = append(news, merged) // it may say more of the upstream than the received record
 		}
 	}
 	if len(news) > 0 {
@@ -100,10 +107,12 @@
 }
 
 // removeAndForward removes a host and forwards the removal to all but the node that sent
-// it.
+// it. A removal that a peer sent is forwarded also if the host is gone already and the removal
+// alone says that its upstream left.
 func (n *Node) removeAndForward(r fleet.Removal, source, from string) {
 	isOwn := r.Node == n.settings.Load().Node.ID
-	if !n.remove(r, source) && !isOwn {
+	isNews := from != "" && n.table.LacksLeaving(r)
+	if !n.remove(r, source) && !isNews && !isOwn {
 		return
 	}
 	if !isOwn {
--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -65,8 +65,8 @@
 			stale.Removed = append(stale.Removed, r)
 			continue
 		}
-		if former, ok := p.node.table.Former(h); ok && h.Node == node {
-			// The sender's former process knew more of its upstream.
+		if former, ok := p.node.table.Former(h); ok && (h.Node == node || former.Upstream.IsLeavingOrGone()) {
+			// The former process of the host knew more of its upstream than the sender does.
 			reply(&link.StateUpdate{Hosts: []fleet.Host{former}})
 		}
 	}
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -379,7 +379,8 @@
 	t.node.record.learned.done() // the sender has nothing more about this host
 	missing := &link.StateUpdate{}
 	for _, h := range t.node.table.All() {
-		if known, ok := theirs[h.Node]; !ok || h.IsNewer(&known) {
+		known, ok := theirs[h.Node]
+		if !ok || h.IsNewer(&known) || h.Upstream.IsLeavingOrGone() && fleet.Supersedes(h.Upstream, known.Upstream) {
 			missing.Hosts = append(missing.Hosts, h)
 		}
 	}
--- a/pkg/host/tree_test.go
+++ b/pkg/host/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +31,12 @@
 	return true
 }
 
+func (h *newsRecorder) all() []*link.StateUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.news)
+}
+
 func (h *newsRecorder) count(is func(n *link.StateUpdate) bool) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
