Tell a node that starts which upstreams of removed hosts have left

What callers saw, in tests: during an outage of the store, the nodes that had seen the removal of a host were stopped one after the other, each while others ran. The node of that host then started beside an upstream that had left, and nobody could tell it so.

Cause: a node that starts gets the records of all hosts from its peers, and not the removals. Where the store could not be read, what they say of an upstream was known only to nodes that ran at the time of the removal.

Evidence: TestStartingNodeIsToldOfDepartures fails on the former code, for the greeting of a small fleet and the table of a large one (0 answers, 1 wanted).

Fix: both carry the newest 64 departures of each data centre, the same as the rosters. A fleet without them sends what it sent before.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -252,6 +252,17 @@
 	return t.removals.departures(dataCentre)
 }
 
+// AllDepartures returns the departures of all data centres.
+func (t *Table) AllDepartures() []Removal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Removal
+	for _, centre := range t.removals.dataCentres() {
+		all = append(all, t.removals.departures(centre)...)
+	}
+	return all
+}
+
 // Former returns what is known of a host from before a record of it, if that has a later
 // state of the upstream than the record. The record then comes from a node that has just
 // restarted and does not know what its former process had received.
--- a/pkg/fleet/removal.go
+++ b/pkg/fleet/removal.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/list"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -144,6 +145,17 @@
 	}
 }
 
+// dataCentres returns the data centres of the hosts whose upstreams were leaving or gone.
+func (l *removalLog) dataCentres() []string {
+	found := make(map[string]bool)
+	for e := l.order.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(Removal); r.Upstream != nil {
+			found[r.DataCentre] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // departures returns the newest maxDepartures removals of hosts of a data centre whose
 // upstreams were leaving or gone. Two logs with the same removals return the same list,
 // whatever their order.
--- a/pkg/host/departures_test.go
+++ b/pkg/host/departures_test.go
@@ -194,3 +194,32 @@
 	}
 	is.Equal(other.count(func(n *link.StateUpdate) bool { return len(n.Removed) == 1 && n.Removed[0].Upstream != nil }), 1)
 }
+
+// A node that starts while the store is away learns from any other node which upstreams of
+// removed hosts have left, so that the last node that saw a removal may stop.
+func TestStartingNodeIsToldOfDepartures(t *testing.T) {
+	for name, learn := range map[string]func(from, n *Node){
+		"greeting of a small fleet": func(from, n *Node) {
+			n.peers.handleNews("b", from.peers.greeting("c"), func(*link.StateUpdate) bool { return true })
+		},
+		"table of a large fleet": func(from, n *Node) {
+			var reply newsRecorder
+			from.peers.handleNews("c", &link.StateUpdate{Subscribe: true}, reply.record)
+			n.peers.handleNews("b", reply.news[0], func(*link.StateUpdate) bool { return true })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			removed := departedHost("a")
+			from, n := newPeerNode(t, "b"), newPeerNode(t, "c")
+			from.removeAndForward(removed.Removal(time.Now().UnixMilli()), "peer a", "a")
+			learn(from, n)
+			restarted := newPeerNode(t, "a")
+			var reply newsRecorder
+			n.peers.handleNews("a", &link.StateUpdate{Hosts: []fleet.Host{restarted.record.current()}}, reply.record)
+			is.Equal(len(reply.news), 1)
+			restarted.peers.handleNews("c", reply.news[0], reply.record)
+			is.Equal(restarted.record.current().Upstream.State, fleet.StateGone)
+		})
+	}
+}
--- a/pkg/host/messages.go
+++ b/pkg/host/messages.go
@@ -44,7 +44,7 @@
 	n.Crashes = p.node.knownCrashes()
 	switch {
 	case p.isFullMesh():
-		n.Hosts = p.node.table.All()
+		n.Hosts, n.Removed = p.node.table.All(), p.node.table.AllDepartures()
 	case p.tree.isContact(node):
 		n.Subscribe = true
 	}
--- a/pkg/host/tree.go
+++ b/pkg/host/tree.go
@@ -196,7 +196,7 @@
 		t.node.log.Emit(event.HostTableNotEncoded, event.F("hosts", len(hosts)), event.F("error", err))
 		return n
 	}
-	n.HostTable = packed
+	n.HostTable, n.Removed = packed, t.node.table.AllDepartures()
 	return n
 }
 
