Find a node that starts alone while the store does not answer

What callers saw: the store was silent, an upstream deregistered, and its node was stopped as planned and started again.

Cause: the end of the stop makes all others delete the host (225, 421), so none connects to it any more; the new process cannot read the roster (229), the only place from which it learns of others, leads (226) and stays alone until the store is back.

Evidence: TestNodeStartedInStoreOutageIsFound fails on the former code: not ready 10 s after the start. It passes now, and its upstream, which has left, gets none of 20 requests after a late heartbeat.

Fix: a removal has the address of the host. The greeting tells it the other hosts, and it connects to them at once, before its own attempt to join ends. 429 removed-host-sought names each host.

--- a/pkg/event/host.go
+++ b/pkg/event/host.go
@@ -10,5 +10,6 @@
 	HostTableNotEncoded     = register(426, "host-table-not-encoded", LevelError, "the host table could not be encoded for another node", "Report it with the error.")
 	PeerMessageUnreadable   = register(427, "peer-message-unreadable", LevelError, "a message from another node cannot be decoded, or a host record in it is invalid and was ignored", "Check whether that node runs another version.")
 	UpdateSourceReplaced    = register(428, "update-source-replaced", LevelWarn, "a node that sends updates to this one is silent; another takes its place until it is heard again", "Check that host if this lasts.")
+	RemovedHostSought       = register(429, "removed-host-sought", LevelInfo, "the store does not answer, and this node tries to reach a host that was removed: a node that starts there knows no other", "")
 	InboundPeerDisconnected = register(424, "inbound-peer-disconnected", LevelInfo, "a connection that another node opened to this one was closed", "")
 )
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -252,6 +252,14 @@
 	return t.removals.departures(dataCentre)
 }
 
+// RemovedSince returns the newest removals of hosts with a known address since a time in Unix
+// milliseconds, the newest first and at most limit.
+func (t *Table) RemovedSince(unixMs int64, limit int) []Removal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.removals.since(unixMs, limit)
+}
+
 // AllDepartures returns the departures of all data centres.
 func (t *Table) AllDepartures() []Removal {
 	t.mu.Lock()
--- a/pkg/fleet/removal.go
+++ b/pkg/fleet/removal.go
@@ -14,12 +14,15 @@
 	Node        string `cbor:"1,keyasint" json:"node"`
 	Incarnation int64  `cbor:"2,keyasint" json:"incarnation"`
 	Change      int64  `cbor:"3,keyasint,omitempty" json:"change"`
-	// DataCentre and Upstream are those of the deleted record if its upstream was leaving or
-	// gone. The node on that host may start again beside the same upstream.
-	DataCentre string    `cbor:"4,keyasint,omitempty" json:"dataCentre,omitempty"`
-	Upstream   *Upstream `cbor:"5,keyasint,omitempty" json:"upstream,omitempty"`
+	// DataCentre and PeerAddress are those of the deleted record, or empty if they are not
+	// known. The node may start again on that host.
+	DataCentre string `cbor:"4,keyasint,omitempty" json:"dataCentre,omitempty"`
+	// Upstream is that of the deleted record if it was leaving or gone. The node may start
+	// again beside the same upstream.
+	Upstream *Upstream `cbor:"5,keyasint,omitempty" json:"upstream,omitempty"`
 	// AtUnixMs is when the host was removed, in Unix milliseconds, or 0 if that is not known.
-	AtUnixMs int64 `cbor:"6,keyasint,omitempty" json:"atUnixMs,omitempty"`
+	AtUnixMs    int64  `cbor:"6,keyasint,omitempty" json:"atUnixMs,omitempty"`
+	PeerAddress string `cbor:"7,keyasint,omitempty" json:"peerAddress,omitempty"`
 }
 
 // Removal returns the removal of a version of a host's record about which nothing else is
@@ -31,9 +34,10 @@
 // Removal returns the removal of the record at a time in Unix milliseconds.
 func (h *Host) Removal(atUnixMs int64) Removal {
 	r := h.Version().Removal()
+	r.DataCentre, r.PeerAddress, r.AtUnixMs = h.DataCentre, h.PeerAddress, atUnixMs
 	if h.Upstream.IsLeavingOrGone() {
 		upstream := h.Upstream
-		r.DataCentre, r.Upstream, r.AtUnixMs = h.DataCentre, &upstream, atUnixMs
+		r.Upstream = &upstream
 	}
 	return r
 }
@@ -51,9 +55,14 @@
 // merge returns the removal that applies to all records that r or other, a removal of the
 // same host, apply to, with the latest known state of the upstream.
 func (r Removal) merge(other Removal) Removal {
-	if v := other.version(); v.After(r.version()) {
+	v := other.version()
+	isLater := v.After(r.version())
+	if isLater {
 		r.Incarnation, r.Change = other.Incarnation, other.Change
 	}
+	if other.PeerAddress != "" && (isLater || r.PeerAddress == "") {
+		r.DataCentre, r.PeerAddress = other.DataCentre, other.PeerAddress
+	}
 	if other.Upstream != nil && (r.Upstream == nil || Supersedes(*other.Upstream, *r.Upstream)) {
 		r.DataCentre, r.Upstream = other.DataCentre, other.Upstream
 	}
@@ -81,6 +90,8 @@
 		return fmt.Errorf("removal of host %.40q: %w", r.Node, ErrInvalidRecord)
 	case r.Incarnation < 0 || r.Incarnation > maxUnixMs || r.Change < 0 || r.Change > maxCount || r.AtUnixMs < 0 || r.AtUnixMs > maxUnixMs:
 		return fmt.Errorf("removal of host %q has incarnation %d, change %d, time %d: %w", r.Node, r.Incarnation, r.Change, r.AtUnixMs, ErrInvalidRecord)
+	case r.PeerAddress != "" && !isPeerAddress(r.PeerAddress):
+		return fmt.Errorf("removal of host %q has the peer address %.40q, want IP:port: %w", r.Node, r.PeerAddress, ErrInvalidRecord)
 	case r.Upstream == nil:
 		return nil
 	case !r.Upstream.IsLeavingOrGone() || r.DataCentre == "":
@@ -145,6 +156,21 @@
 	}
 }
 
+// since returns the newest removals with an address since a time in Unix milliseconds, the
+// newest first and at most limit.
+func (l *removalLog) since(unixMs int64, limit int) []Removal {
+	var found []Removal
+	for e := l.order.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(Removal); r.PeerAddress != "" && r.AtUnixMs >= unixMs {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(x, y Removal) int {
+		return cmp.Or(cmp.Compare(y.AtUnixMs, x.AtUnixMs), cmp.Compare(x.Node, y.Node))
+	})
+	return found[:min(limit, len(found))]
+}
+
 // dataCentres returns the data centres of the hosts whose upstreams were leaving or gone.
 func (l *removalLog) dataCentres() []string {
 	found := make(map[string]bool)
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // Contacts are the hosts to which a node of a large fleet keeps connections for control
 // messages between nodes, such as records and announcements.
 type Contacts struct {
@@ -51,6 +53,19 @@
 	return c
 }
 
+// First returns the host that ranks first, and false without hosts.
+func First(hosts []Host) (Host, bool) {
+	if len(hosts) == 0 {
+		return Host{}, false
+	}
+	return slices.MinFunc(hosts, func(x, y Host) int {
+		if x.ranksBefore(&y) {
+			return -1
+		}
+		return 1
+	}), true
+}
+
 // ranksBefore reports whether h ranks before another host. Larger hosts rank first, and
 // hosts of equal size are ordered by name.
 func (h *Host) ranksBefore(other *Host) bool {
--- a/pkg/fleet/validate.go
+++ b/pkg/fleet/validate.go
@@ -28,11 +28,10 @@
 // Validate returns an error unless a node can have written the record. Records are ordered by
 // their numbers, so that one that is too large could never be superseded.
 func (h *Host) Validate() error {
-	address, err := netip.ParseAddrPort(h.PeerAddress)
 	switch {
 	case !IsValidName(h.Node):
 		return fmt.Errorf("name %.40q: %w", h.Node, ErrInvalidRecord)
-	case err != nil || address.Port() == 0:
+	case !isPeerAddress(h.PeerAddress):
 		return fmt.Errorf("host %q has the peer address %.40q, want IP:port: %w", h.Node, h.PeerAddress, ErrInvalidRecord)
 	case h.Incarnation < 0 || h.Incarnation > maxUnixMs || h.Change < 0 || h.Change > maxCount || h.Size < 0 || h.Size > maxSize:
 		return fmt.Errorf("host %q has incarnation %d, change %d, size %d: %w", h.Node, h.Incarnation, h.Change, h.Size, ErrInvalidRecord)
@@ -45,6 +44,12 @@
 	return nil
 }
 
+// isPeerAddress reports whether text can be the address at which a node accepts connections.
+func isPeerAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
+}
+
 // Validate returns an error unless u can be the state of an upstream that a node knows.
 func (u *Upstream) Validate() error {
 	switch {
--- a/pkg/host/connections.go
+++ b/pkg/host/connections.go
@@ -8,7 +8,8 @@
 )
 
 // updateConnections connects to the hosts that this node has to reach. It closes
-// connections to hosts that left the table, and in a large fleet those that are idle.
+// connections to hosts that left the table, unless it seeks them, and in a large fleet those
+// that are idle.
 func (p *peers) updateConnections() {
 	hosts := p.node.table.All()
 	isSmall := p.isFullMesh()
@@ -24,7 +25,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for node, peer := range p.peers {
-		if !known[node] || !isSmall && !p.tree.isContact(node) && peer.IdleTime() > idleConnectionTimeout {
+		if !known[node] && !p.sought[node] || known[node] && !isSmall && !p.tree.isContact(node) && peer.IdleTime() > idleConnectionTimeout {
 			go peer.Close()
 			delete(p.peers, node)
 			delete(p.lostAt, node)
--- a/pkg/host/hosts.go
+++ b/pkg/host/hosts.go
@@ -126,6 +126,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, cleanupInterval)
 		n.peers.updateConnections()
+		n.peers.seekRemoved(time.Now())
 		switch {
 		case n.peers.isFullMesh() && !n.lead.reachedStoreRecently(time.Now()):
 			continue
--- a/pkg/host/lead.go
+++ b/pkg/host/lead.go
@@ -139,10 +139,19 @@
 func (l *lead) waitJoined(ctx context.Context) {
 	limit := time.NewTimer(joinTimeout)
 	defer limit.Stop()
-	select {
-	case <-l.node.rosters.joined.closed:
-	case <-limit.C:
-	case <-ctx.Done():
+	check := time.NewTicker(largeCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-l.node.rosters.joined.closed:
+			return
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-check.C:
+			l.node.peers.refreshConnections() // another node may have told this one of hosts
+		}
 	}
 }
 
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -49,6 +49,8 @@
 	lostAt map[string]time.Time
 	// missingSince is since when hosts that should follow this node do not.
 	missingSince map[string]time.Time
+	// sought are removed hosts that this node tries to reach, see seekRemoved.
+	sought map[string]bool
 	// pulledAt is when this node last requested a configuration from a peer.
 	pulledAt time.Time
 	// awaitedVersion is the newest version that another data centre has announced.
--- a/pkg/host/store_outage_test.go
+++ b/pkg/host/store_outage_test.go
@@ -58,3 +58,23 @@
 		c.eventually(other.Name+" knows it", func() bool { return other.Node.Report().Hosts["gone"] == 1 })
 	}
 }
+
+// A node that was stopped as planned beside an upstream that has left, and starts while the store
+// does not answer, is not left alone: other nodes reach it, although the stop has removed its host
+// there, and it serves callers soon.
+func TestNodeStartedInStoreOutageIsFound(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	c.awaitStored(fleet.StateReady)
+	m := c.hosts[0]
+	m.StopHeartbeats()
+	c.setStoreFaults(standin.Faults{Silent: true})
+	is.NoErr(m.Upstream.Remove(m.AnnounceAddress()))
+	m.Node.Stop()
+	time.Sleep(1500 * time.Millisecond)
+	c.start(m)
+	c.eventually("ready again", func() bool { return m.IsReady(t.Context()) })
+	is.NoErr(m.Upstream.BeatAs(m.AnnounceAddress(), standin.StateReady, 1_000_000))
+	time.Sleep(2 * time.Second) // until all nodes are connected
+	c.checkUnused(m.Upstream)
+}
