Bind all listeners before the first connection, and name equal addresses

Two causes were weighed. (1) A connection of the node was given the port of a listener that it bound later. That can happen where both have the host's own address.

Fix: the service listeners binds all sockets before any other one opens a connection, so (1) is gone.

--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -83,13 +83,19 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	s.Serve(l)
+	return nil
+}
+
+// Serve serves the connections of a listener in the background until Close, which closes the
+// listener.
+func (s *Server) Serve(l net.Listener) {
 	s.listener = l
 	s.conns, s.perAddress = make(map[*serverConn]struct{}), make(map[string]int)
 	s.closed = make(chan struct{})
 	s.done.Add(2)
 	go s.accept()
 	go s.sweep()
-	return nil
 }
 
 // Address returns the address of the running listener.
--- a/pkg/host/host.go
+++ b/pkg/host/host.go
@@ -83,6 +83,7 @@
 	intake     *intake.Service
 	dispatch   *dispatch.Service
 	outbound   *h1.Server
+	listeners  listeners
 	// answers bounds the memory of all answers in progress, and uplink limits the rate of
 	// the host's link.
 	answers *memory.Budget
--- a/pkg/host/peers.go
+++ b/pkg/host/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -76,7 +77,7 @@
 	}
 }
 
-func (p *peers) listen(address string) error {
+func (p *peers) serve(l net.Listener) {
 	p.server = &link.Server{
 		Self: p.self(),
 		Handle: func(ctx context.Context, _ string, c *link.Call) *link.Answer {
@@ -87,7 +88,7 @@
 		OnNoMemory:  func() { p.node.observer.refuseCaller(nodesListener, reasonCallMemory) },
 		Events:      link.Events{Up: p.callerConnected, Down: p.callerLost, StateUpdate: p.handleNews},
 	}
-	return p.server.Listen(address)
+	p.server.Serve(l)
 }
 
 // send runs a call on the node of an upstream, which may be this one.
--- a/pkg/host/services.go
+++ b/pkg/host/services.go
@@ -35,6 +35,8 @@
 	metricsName  = "metrics"
 	currencyName = "currency"
 	quotaName    = "quota"
+	// listenersName is the service that binds the sockets of all others.
+	listenersName = "listeners"
 )
 
 // serviceStopTime bounds the stop of all services; none of them waits for anything outside
@@ -113,7 +115,13 @@
 			n.store().Close()
 			return nil
 		}},
-		&funcService{name: peersName, needs: []string{storeName}, open: func() error { return n.peers.listen(s.PeerListener()) }, close: func(context.Context) error {
+		&funcService{name: listenersName, needs: []string{logName}, open: func() error { return n.listeners.open(s) }, close: func(context.Context) error {
+			return n.listeners.close()
+		}},
+		&funcService{name: peersName, needs: []string{storeName, listenersName}, open: func() error {
+			n.peers.serve(n.listeners.peers)
+			return nil
+		}, close: func(context.Context) error {
 			n.peers.close()
 			return n.peers.server.Close()
 		}},
@@ -124,16 +132,19 @@
 		n.loopService(quotaName, n.quotas.run, leadName),
 		n.loopService(settingsName, n.watchSettings, storeName),
 		n.loopService(logName+".dropped", n.reportDropped, logName),
-		&funcService{name: requestsName, needs: []string{leadName}, open: func() error { return n.outbound.Listen(s.Listen.Outbound) }, close: func(context.Context) error {
+		&funcService{name: requestsName, needs: []string{leadName}, open: func() error {
+			n.outbound.Serve(n.listeners.outbound)
+			return nil
+		}, close: func(context.Context) error {
 			return n.closeRequests()
 		}},
 		listenerService(readyName, func() (*httpserver.Server, error) {
-			return platform.ServeReady(s.Listen.Ready, n.controlBounds(readinessListener), n.record)
+			return platform.ServeReady(n.listeners.ready, n.controlBounds(readinessListener), n.record)
 		}, requestsName),
 		listenerService(announceName, func() (*httpserver.Server, error) {
-			return platform.ServeHeartbeats(s.Listen.Announce, n.controlBounds(heartbeatsListener), platform.LocalUpstream{Service: s.Upstream.Service, Address: s.Upstream.Address}, n.record)
+			return platform.ServeHeartbeats(n.listeners.announce, n.controlBounds(heartbeatsListener), platform.LocalUpstream{Service: s.Upstream.Service, Address: s.Upstream.Address}, n.record)
 		}, leadName),
-		listenerService(metricsName, func() (*httpserver.Server, error) { return n.serveMetrics(s.MetricsAddress()) }, logName),
+		listenerService(metricsName, n.serveMetrics, listenersName),
 	}...)
 }
 
@@ -181,9 +192,9 @@
 	}
 }
 
-func (n *Node) serveMetrics(address string) (*httpserver.Server, error) {
+func (n *Node) serveMetrics() (*httpserver.Server, error) {
 	handler := promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
-	s, err := httpserver.Start(address, n.controlBounds(metricsListener), func(h *server.Hertz) {
+	s, err := httpserver.Serve(n.listeners.metrics, n.controlBounds(metricsListener), func(h *server.Hertz) {
 		h.GET("/metrics", n.limitScrapes(adaptor.HertzHandler(handler)))
 		n.serveHandover(h)
 		n.serveProfiles(h)
--- a/pkg/hostconf/hostconf.go
+++ b/pkg/hostconf/hostconf.go
@@ -203,6 +203,20 @@
 	return s, s.validate()
 }
 
+// checkDistinct reports each listener that has the address of another one or of the upstream.
+func (s *Settings) checkDistinct(invalid func(key string, value any, want string)) {
+	users := map[string]string{s.Upstream.Address: "upstream.address"}
+	for _, l := range []struct{ key, address string }{
+		{"listen.peerPort", s.PeerListener()}, {"listen.outbound", s.Listen.Outbound}, {"listen.ready", s.Listen.Ready},
+		{"listen.announce", s.Listen.Announce}, {"listen.metricsPort", s.MetricsAddress()},
+	} {
+		if other, used := users[l.address]; used && l.address != "" {
+			invalid(l.key, l.address, "another address than that of "+other)
+		}
+		users[l.address] = l.key
+	}
+}
+
 // validate returns one error that joins all invalid keys, and sets the keyring.
 func (s *Settings) validate() error {
 	var problems []error
@@ -224,6 +238,7 @@
 			invalid(key, fmt.Sprintf("%q", value), "IP:port")
 		}
 	}
+	s.checkDistinct(invalid)
 	if s.Node.ID != "" && !fleet.IsValidName(s.Node.ID) {
 		invalid("node.id", fmt.Sprintf("%.40q", s.Node.ID), "at most 256 bytes of text without control characters")
 	}
--- a/pkg/hostconf/hostconf_test.go
+++ b/pkg/hostconf/hostconf_test.go
@@ -207,3 +207,19 @@
 		}
 	})
 }
+
+// Two listeners, or a listener and the upstream, cannot have the same address. The error names
+// both, so that the log of a node that cannot start tells that from a port in use.
+func TestListenersNeedDistinctAddresses(t *testing.T) {
+	for replaced, want := range map[string]string{
+		`"10.1.0.35:8141"`: "listen.outbound is 10.1.0.35:8147, want another address than that of upstream.address",
+		`"10.1.0.35:8140"`: "listen.ready is 10.1.0.35:8147, want another address than that of upstream.address",
+		`"10.1.0.35:8146"`: "listen.announce is 10.1.0.35:8147, want another address than that of upstream.address",
+	} {
+		is := is.New(t)
+		text := strings.Replace(renderTemplate(t), replaced, `"10.1.0.35:8147"`, 1)
+		_, err := hostconf.Parse([]byte(text))
+		is.True(errors.Is(err, hostconf.ErrInvalid))
+		is.True(strings.Contains(err.Error(), want))
+	}
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -138,6 +138,13 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	s.Serve(l)
+	return nil
+}
+
+// Serve serves the connections of a listener in the background until Close, which closes the
+// listener.
+func (s *Server) Serve(l net.Listener) {
 	if s.Self.Credentials != nil {
 		l = tls.NewListener(l, s.Self.Credentials.ServerConfig())
 	}
@@ -146,6 +153,7 @@
 	s.puller = newPuller(s.Self.Downlink)
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, s.accept)
+	address := l.Addr()
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout, MaxHeaderBytes: maxUpgradeBytes}
 	go func() {
 		if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -153,7 +161,6 @@
 		}
 	}()
 	go s.sweep()
-	return nil
 }
 
 // Pending returns the number of calls that are running and of frames, answers among them,
