Soak: leavings while the store is silent, and nodes that must be ready again

In a third of the draws of TestLeavingsOverRestarts the store is silent from before the leaving until after the late heartbeat, and a node that is not ready 15 s after its start now fails the test, the time the platform allows.

--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -14,8 +14,9 @@
 )
 
 // TestLeavingsOverRestarts checks that an acknowledged leaving is not forgotten when the node
-// beside the upstream is stopped or killed and started again, and a heartbeat from before the
-// leaving arrives late, and that the next upstream at that address is served soon.
+// beside the upstream is stopped or killed and started again, also while the store is silent, and
+// a heartbeat from before the leaving arrives late; that the node serves again in time, and that
+// the next upstream at that address is served soon.
 func TestLeavingsOverRestarts(t *testing.T) {
 	binary := build(t)
 	forEachSeed(t, max(1, *seeds/2), func(t *testing.T, network int, seed uint64) { restartBesideLeavings(t, binary, network, seed) })
@@ -37,12 +38,30 @@
 	time.Sleep(2 * time.Second) // until the store has all hosts
 	for i := 0; i+1 < len(m.hosts); i += 2 {
 		var both sync.WaitGroup
+		isAway := random.IntN(3) == 0
+		if isAway {
+			t.Logf("seed %d: the store is silent", seed)
+			m.setStoreFaults(standin.Faults{Silent: true})
+		}
 		for _, p := range m.hosts[i : i+2] {
 			l := drawRestart(random)
 			t.Logf("seed %d: %s: %+v", seed, p.name, l)
-			both.Go(func() { m.leaveAndRestart(p, l) })
+			both.Go(func() {
+				m.leaveAndRestart(p, l)
+				if !isAway {
+					m.awaitServed(p)
+				}
+			})
 		}
 		both.Wait()
+		if !isAway {
+			continue
+		}
+		m.setStoreFaults(standin.Faults{})
+		for _, p := range m.hosts[i : i+2] {
+			// Strict revocation refuses callers with keys until the store is back.
+			m.awaitServed(p)
+		}
 	}
 	cancel()
 	running.Wait()
@@ -74,14 +93,21 @@
 }
 
 const (
-	// readyWithin is how long the late heartbeat waits for the node at most.
-	readyWithin = 5 * time.Second
+	// readyWithin is the time that the platform allows until a started node serves again.
+	readyWithin = 15 * time.Second
 	// acknowledgedWithin and servedWithin are the times that the platform allows for the
 	// acknowledgement of a leaving, and until a new upstream gets its first request.
 	acknowledgedWithin = 4 * time.Second
 	servedWithin       = 4 * time.Second
 )
 
+// setStoreFaults sets the faults of the store for all nodes.
+func (m *mesh) setStoreFaults(f standin.Faults) {
+	for _, p := range m.hosts {
+		m.store.SetFaults(p.store, f)
+	}
+}
+
 // leaveAndRestart lets a host's upstream leave, restarts its node while the upstream goes on
 // serving, and then starts another upstream in its place.
 func (m *mesh) leaveAndRestart(p *process, l restartDraw) {
@@ -98,12 +124,19 @@
 	time.Sleep(l.wait)
 	m.restart(p, l.signal, l.downtime)
 	time.Sleep(l.lateBy)
-	for start := time.Now(); !isReady(p) && time.Since(start) < readyWithin; {
-		time.Sleep(20 * time.Millisecond)
+	for start := time.Now(); !isReady(p); time.Sleep(20 * time.Millisecond) {
+		if time.Since(start) > readyWithin {
+			m.t.Errorf("seed %d: the node of %s is not ready %s after its start", m.seed, p.name, readyWithin)
+			break
+		}
 	}
 	_ = u.BeatAs(control, standin.StateReady, 1_000_000) // it need not be acknowledged
 	time.Sleep(drainTime + 500*time.Millisecond)
 	m.replace(p)
+}
+
+// awaitServed checks that the upstream of a host gets a request soon.
+func (m *mesh) awaitServed(p *process) {
 	p.mu.Lock()
 	next := p.upstream
 	p.mu.Unlock()
@@ -114,7 +147,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	m.t.Errorf("seed %d: the upstream %s, which follows %s, got no request in %s", m.seed, next.ID, u.ID, servedWithin)
+	m.t.Errorf("seed %d: the new upstream %s of %s got no request in %s", m.seed, next.ID, p.name, servedWithin)
 }
 
 // awaitLeaving calls the node, as upstreams do, until it acknowledges a leaving, and records
